--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/package-info.java
@@ -0,0 +1,2 @@
+/** ibishub-agent: the process beside each target. */
+package dev.ibishub.agent;
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the decisions: benches with a clock they set, and JMH. */
+package dev.ibishub.bench;
--- /dev/null
+++ b/cli/src/main/java/dev/ibishub/cli/package-info.java
@@ -0,0 +1,2 @@
+/** ibishub: the operators command line. */
+package dev.ibishub.cli;
--- /dev/null
+++ b/settings/src/main/java/dev/ibishub/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings of the processes and the published configuration, in JSON with comments. */
+package dev.ibishub.settings;
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for what surrounds the system, and the load tool. Not shipped. */
+package dev.ibishub.standins;
