Check settings of the processes and the published configuration

Cause: entry and agent need typed settings, and the published configuration needs a base with overlays that is refused with all of its faults at once. Change: one schema mechanism (Key, ObjectSchema) declares each key once with type, unit, default, limits and sentence; EntrySettings, AgentSettings and ConfigurationDocument read through it, with line and column of each fault and the nearest known key. Configuration in core is what is in force at one site. Ruled out: data binding to records by Jackson, which stops at the first fault.

--- /dev/null
+++ b/settings/src/main/java/dev/ibishub/settings/Paths.java
@@ -0,0 +1,14 @@
+package dev.ibishub.settings;
+
+/** Paths of values in a file, as faults show them. */
+final class Paths {
+  private Paths() {}
+
+  static String member(String path, String key) {
+    return path.isEmpty() ? key : path + "." + key;
+  }
+
+  static String element(String path, int index) {
+    return path + "[" + index + "]";
+  }
+}
