--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/MemberRole.java
@@ -0,0 +1,7 @@
+package dev.ibishub.core;
+
+/** What a process does. */
+public enum MemberRole {
+  ENTRY,
+  AGENT
+}
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/RouteQuery.java
@@ -0,0 +1,23 @@
+package dev.ibishub.core;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What a request needs of a target.
+ *
+ * @param served what the target must serve
+ * @param zone failure domain of the entry
+ * @param prefixHash hash of the prompt's prefix; 0 for a request without one
+ * @param estimatedTokens expected cost
+ * @param excluded targets that were tried already
+ */
+public record RouteQuery(
+    String served, String zone, long prefixHash, double estimatedTokens, Set<String> excluded) {
+  /** Checks the fields and copies the set. */
+  public RouteQuery {
+    Objects.requireNonNull(served, "served");
+    Objects.requireNonNull(zone, "zone");
+    excluded = Set.copyOf(excluded);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/internal/membership/Known.java
@@ -0,0 +1,53 @@
+package dev.ibishub.core.internal.membership;
+
+import dev.ibishub.core.MemberRecord;
+import java.time.Instant;
+
+/**
+ * One member with what this process has seen of it. Immutable.
+ *
+ * @param record newest knowledge
+ * @param changedAt when the record last changed in more than its load
+ * @param suspectedAt when the suspicion that holds began; meaningless in other states
+ * @param heardAt when the member itself was last heard; {@link Instant#MIN} if never
+ * @param listed whether the list of VMs last named it
+ * @param misses probes in a row without an answer
+ */
+public record Known(
+    MemberRecord record,
+    Instant changedAt,
+    Instant suspectedAt,
+    Instant heardAt,
+    boolean listed,
+    int misses) {
+  /** A member that is new to this process. */
+  public static Known of(MemberRecord record, boolean listed, Instant now) {
+    return new Known(record, now, now, Instant.MIN, listed, 0);
+  }
+
+  /** With newer knowledge. */
+  public Known with(MemberRecord newer, Instant now) {
+    boolean sameState = newer.state() == record.state();
+    boolean changed =
+        !sameState
+            || newer.incarnation() != record.incarnation()
+            || newer.refutation() != record.refutation();
+    return new Known(
+        newer, changed ? now : changedAt, sameState ? suspectedAt : now, heardAt, listed, misses);
+  }
+
+  /** Heard just now. */
+  public Known heard(Instant now) {
+    return new Known(record, changedAt, suspectedAt, now, listed, 0);
+  }
+
+  /** Missed once more. */
+  public Known missed() {
+    return new Known(record, changedAt, suspectedAt, heardAt, listed, misses + 1);
+  }
+
+  /** Named or no longer named by the list of VMs. */
+  public Known listed(boolean nowListed) {
+    return new Known(record, changedAt, suspectedAt, heardAt, nowListed, misses);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/TargetState.java
@@ -0,0 +1,143 @@
+package dev.ibishub.core.internal.routing;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import dev.ibishub.core.RouterOptions;
+import dev.ibishub.core.TargetStatus;
+import java.time.Instant;
+import java.util.Set;
+
+/** What an entry knows of one target. Thread-safe by one lock for each target. */
+public final class TargetState {
+  private static final double SMALLEST_RAMP = 0.1;
+  private static final double OLDEST_REPORT_SECONDS = 5;
+  private static final int MOST_DOUBLINGS = 6;
+
+  private final String target;
+  private final long hash;
+  private final RouterOptions options;
+  private final SentWork sent = new SentWork();
+  private TargetStatus status;
+  private Instant slowStartFrom;
+  private Instant ejectedUntil = Instant.MIN;
+  private int failuresInARow;
+  private int ejections;
+
+  /** Creates the state of a target that has not reported yet and gets no work. */
+  public TargetState(String target, RouterOptions options, Instant now) {
+    this.target = target;
+    this.hash = Hashing.komihash5_0().hashCharsToLong(target);
+    this.status =
+        new TargetStatus(target, "", false, false, 0, 0, 0, 0, 0, Set.of(), Instant.EPOCH);
+    this.options = options;
+    this.slowStartFrom = now;
+  }
+
+  public String target() {
+    return target;
+  }
+
+  /** Hash of the target's id. */
+  long hash() {
+    return hash;
+  }
+
+  /** The newest report. */
+  public synchronized TargetStatus status() {
+    return status;
+  }
+
+  /** Takes a report unless it is older than the last one. */
+  public synchronized void report(TargetStatus newer, Instant now) {
+    if (newer.measuredAt().isBefore(status.measuredAt())) {
+      return;
+    }
+    boolean isBack = accepts(newer) && !accepts(status);
+    status = newer;
+    slowStartFrom = isBack ? now : slowStartFrom;
+    sent.forgetUntil(newer.measuredAt());
+  }
+
+  public synchronized void sent(double tokens, Instant now) {
+    sent.add(tokens, now);
+  }
+
+  /** Whether the target may get work. */
+  public synchronized boolean isEligible(Instant now) {
+    return accepts(status) && !isEjected(now);
+  }
+
+  public synchronized boolean isEjected(Instant now) {
+    return ejectedUntil.isAfter(now);
+  }
+
+  /** Whether the target says that it takes work, ejected or not. */
+  public synchronized boolean takesWork() {
+    return accepts(status);
+  }
+
+  /** Notes the end of an attempt; returns whether the target should be ejected. */
+  public synchronized boolean finished(boolean failed) {
+    if (!failed) {
+      failuresInARow = 0;
+      ejections = 0;
+      return false;
+    }
+    failuresInARow++;
+    return failuresInARow >= options.ejectionFailures();
+  }
+
+  /** Ejects the target, for twice as long as the last time; it comes back with a slow start. */
+  public synchronized void eject(Instant now) {
+    double seconds = options.ejectionSeconds() * (1 << Math.min(ejections, MOST_DOUBLINGS));
+    ejections++;
+    ejectedUntil = Seconds.after(now, seconds);
+    slowStartFrom = ejectedUntil;
+    failuresInARow = options.ejectionFailures() - 1;
+  }
+
+  /** Estimated seconds until the target starts work that is sent now. */
+  public synchronized double waitSeconds(Instant now) {
+    double rate = tokensPerSecond();
+    int free = status.queued() > 0 ? 0 : Math.max(0, status.limit() - status.running());
+    int sentCount = sent.count();
+    double waitingShare = sentCount <= free ? 0 : (double) (sentCount - free) / sentCount;
+    double waiting = status.queuedTokens() + waitingShare * sent.tokens();
+    return Math.max(0, waiting / rate - ageSeconds(now));
+  }
+
+  /**
+   * Estimated cost in seconds of sending work now: the wait, and the share of the target's time
+   * that the work takes, which grows with what runs beside it. A target in its slow start looks
+   * dearer than it is.
+   */
+  public synchronized double costSeconds(double tokens, Instant now) {
+    double busy =
+        (status.running() + status.queued() + sent.count()) / (double) Math.max(1, status.limit());
+    double own = tokens / tokensPerSecond();
+    return (waitSeconds(now) + own * (1 + busy)) / ramp(now);
+  }
+
+  private double tokensPerSecond() {
+    return status.tokensPerSecond() > 0
+        ? status.tokensPerSecond()
+        : options.initialTokensPerSecond();
+  }
+
+  /** Bounded, so that a clock that is off by more than that does bounded harm. */
+  private double ageSeconds(Instant now) {
+    double age = Seconds.between(status.measuredAt(), now);
+    return Math.max(0, Math.min(OLDEST_REPORT_SECONDS, age));
+  }
+
+  private double ramp(Instant now) {
+    if (options.slowStartSeconds() == 0) {
+      return 1;
+    }
+    double done = Seconds.between(slowStartFrom, now) / options.slowStartSeconds();
+    return Math.max(SMALLEST_RAMP, Math.min(1, done));
+  }
+
+  private static boolean accepts(TargetStatus status) {
+    return status.reachable() && !status.leaving();
+  }
+}
