Stand in for engine, service, log, VM list and weight store

Cause: nothing to run entry and agent against. Change: one program, ibishub-standin, with a sub-command each; it prints 'ready KIND HOST:PORT' for each port. Faults go in by PUT /control/faults, audits come out under /control/. The engine batches continuously, several ranks of a group step together in one process, and each step in which ranks used different maps is recorded.

--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/GeneratedStream.java
@@ -0,0 +1,101 @@
+package dev.ibishub.standins;
+
+import dev.ibishub.platform.GenerationCall;
+import dev.ibishub.platform.GenerationEnd;
+import java.util.List;
+import java.util.Optional;
+
+/** One answer as it is generated, with all its pieces kept for joining again. Thread-safe. */
+final class GeneratedStream {
+  private final GenerationCall call;
+  private final List<String> tokens;
+  private final int tokensPerPiece;
+  private final long promptTokens;
+  private long pieces;
+  private GenerationEnd end;
+  // Guarded by the rank's lock.
+  private long prefillStepsLeft;
+
+  /**
+   * Creates an answer of which nothing is generated yet.
+   *
+   * @param tokens all that will be generated
+   */
+  GeneratedStream(GenerationCall call, List<String> tokens, int tokensPerPiece, long promptTokens) {
+    this.call = call;
+    this.tokens = tokens;
+    this.tokensPerPiece = tokensPerPiece;
+    this.promptTokens = promptTokens;
+  }
+
+  GenerationCall call() {
+    return call;
+  }
+
+  void setPrefillSteps(long steps) {
+    prefillStepsLeft = steps;
+  }
+
+  /** Goes on by one step and returns how many tokens that gave. */
+  int advance() {
+    if (prefillStepsLeft > 0) {
+      prefillStepsLeft--;
+      return 0;
+    }
+    return emitPiece();
+  }
+
+  synchronized void cancel() {
+    if (end == null) {
+      finish("cancelled");
+    }
+  }
+
+  synchronized boolean finished() {
+    return end != null;
+  }
+
+  synchronized long pieces() {
+    return pieces;
+  }
+
+  synchronized Optional<GenerationEnd> end() {
+    return Optional.ofNullable(end);
+  }
+
+  /** Waits until the piece is there; empty when the answer ended before it. */
+  synchronized Optional<String> awaitPiece(long number) throws InterruptedException {
+    while (pieces <= number && end == null) {
+      wait();
+    }
+    return number < pieces ? Optional.of(text(number)) : Optional.empty();
+  }
+
+  private synchronized int emitPiece() {
+    if (end != null) {
+      return 0;
+    }
+    int before = generated();
+    pieces++;
+    int after = generated();
+    if (after == tokens.size()) {
+      finish(after == call.maximumTokens() ? "length" : "stop");
+    }
+    notifyAll();
+    return after - before;
+  }
+
+  private void finish(String reason) {
+    end = new GenerationEnd(pieces, promptTokens, generated(), reason);
+    notifyAll();
+  }
+
+  private int generated() {
+    return (int) Math.min(tokens.size(), pieces * tokensPerPiece);
+  }
+
+  private String text(long number) {
+    int from = (int) (number * tokensPerPiece);
+    return String.join("", tokens.subList(from, Math.min(tokens.size(), from + tokensPerPiece)));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/StandInMain.java
@@ -0,0 +1,96 @@
+package dev.ibishub.standins;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * The program {@code ibishub-standin}: runs one stand-in until it is stopped, and prints {@code
+ * ready KIND HOST:PORT} for each port on which it listens.
+ */
+public final class StandInMain {
+  private static final String USAGE =
+      "usage: ibishub-standin engine|service|log|vm-list|weight-store [options]";
+  private static final int EXIT_USAGE = 2;
+
+  private StandInMain() {}
+
+  /**
+   * Starts the stand-in that the first argument names.
+   *
+   * @throws IOException when its port cannot be had
+   */
+  public static void main(String[] arguments) throws IOException {
+    if (arguments.length == 0) {
+      System.err.println(USAGE);
+      System.exit(EXIT_USAGE);
+    }
+    String kind = arguments[0];
+    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+    OptionParser parser = StandInOptions.parserOf(kind);
+    try {
+      OptionSet options = parser.parse(rest);
+      if (options.has("help")) {
+        System.out.println(USAGE);
+        parser.printHelpOn(System.out);
+        return;
+      }
+      start(kind, options);
+    } catch (OptionException | IllegalArgumentException e) {
+      System.err.println(e.getMessage());
+      System.err.println(USAGE);
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  /** Starts a stand-in and returns its servers, one for each port. */
+  static List<StandInServer> start(String kind, OptionSet options) throws IOException {
+    if (kind.equals("engine")) {
+      return startEngine(options);
+    }
+    return List.of(listen(kind, options, 0, new FaultSwitch(), handlerOf(kind, options)));
+  }
+
+  private static StandInServer.Handler handlerOf(String kind, OptionSet options) {
+    return switch (kind) {
+      case "service" -> new ServiceStandIn(StandInOptions.number(options, "delay-millis"))::handle;
+      case "log" -> new LogStandIn(StandInOptions.log(options))::handle;
+      case "vm-list" ->
+          new VirtualMachineListStandIn(StandInOptions.number(options, "lag-millis"))::handle;
+      case "weight-store" ->
+          new WeightStoreStandIn(StandInOptions.number(options, "bytes-per-second"))::handle;
+      default -> throw new IllegalArgumentException("unknown stand-in: " + kind);
+    };
+  }
+
+  private static List<StandInServer> startEngine(OptionSet options) throws IOException {
+    EngineOptions engine = StandInOptions.engine(options);
+    List<FaultSwitch> faults =
+        IntStream.range(0, engine.ranks()).mapToObj(rank -> new FaultSwitch()).toList();
+    EngineGroup group = EngineGroup.start(engine, faults);
+    List<StandInServer> servers = new ArrayList<>();
+    for (int rank = 0; rank < engine.ranks(); rank++) {
+      FaultSwitch rankFaults = faults.get(rank);
+      EngineStandIn face = new EngineStandIn(group, rank, engine, rankFaults);
+      servers.add(listen("engine", options, rank, rankFaults, face::handle));
+    }
+    return servers;
+  }
+
+  // Ranks listen on consecutive ports, or each on any free one.
+  private static StandInServer listen(
+      String kind, OptionSet options, int rank, FaultSwitch faults, StandInServer.Handler handler)
+      throws IOException {
+    int port = (int) StandInOptions.number(options, "port");
+    String host = (String) options.valueOf("host");
+    StandInServer server = StandInServer.start(host, port == 0 ? 0 : port + rank, faults, handler);
+    System.out.printf("ready %s %s:%d%n", kind, host, server.address().getPort());
+    System.out.flush();
+    return server;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/StandInReply.java
@@ -0,0 +1,41 @@
+package dev.ibishub.standins;
+
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.platform.PlatformError;
+import dev.ibishub.platform.PlatformJson;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Optional;
+
+/** A stand-in's answer: bytes, or a body written as it comes. */
+@SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
+record StandInReply(int status, byte[] body, Optional<BodyWriter> writer) {
+  /** Writes a body as it comes. */
+  @FunctionalInterface
+  interface BodyWriter {
+    void write(OutputStream out) throws IOException, InterruptedException;
+  }
+
+  static StandInReply json(Object value) {
+    return new StandInReply(200, PlatformJson.write(value), Optional.empty());
+  }
+
+  static StandInReply empty() {
+    return new StandInReply(204, new byte[0], Optional.empty());
+  }
+
+  static StandInReply streamed(BodyWriter writer) {
+    return new StandInReply(200, new byte[0], Optional.of(writer));
+  }
+
+  static StandInReply refusal(ResultCode code, String detail) {
+    return refusal(code, detail, 0);
+  }
+
+  static StandInReply refusal(ResultCode code, String detail, long retryAfterMillis) {
+    return new StandInReply(
+        code.httpStatus(),
+        PlatformJson.write(new PlatformError(code.name(), detail, retryAfterMillis)),
+        Optional.empty());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/StandInServer.java
@@ -0,0 +1,156 @@
+package dev.ibishub.standins;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * The HTTP server of one stand-in: it applies the injected faults, then asks the stand-in. Calls
+ * under {@code /control/} meet no faults. Thread-safe.
+ */
+public final class StandInServer implements AutoCloseable {
+  static {
+    // Read when the JDK's server first loads. Without nodelay, Nagle's algorithm and delayed
+    // acknowledgement hold each small piece of a stream back for some 40 ms.
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+    // Beyond this many idle connections the server closes one that a client may be writing to.
+    System.setProperty("sun.net.httpserver.maxIdleConnections", "10000");
+  }
+
+  private static final int BACKLOG = 1024;
+  private static final Duration OUTAGE_RETRY = Duration.ofMillis(200);
+
+  private final HttpServer server;
+  private final ExecutorService executor;
+  private final FaultSwitch faults;
+  private final Handler handler;
+
+  /** Answers requests. */
+  @FunctionalInterface
+  interface Handler {
+    StandInReply handle(StandInRequest request) throws IOException, InterruptedException;
+  }
+
+  private StandInServer(
+      HttpServer server, ExecutorService executor, FaultSwitch faults, Handler handler) {
+    this.server = server;
+    this.executor = executor;
+    this.faults = faults;
+    this.handler = handler;
+  }
+
+  /**
+   * Starts listening.
+   *
+   * @param port the port, 0 for any free one
+   */
+  static StandInServer start(String host, int port, FaultSwitch faults, Handler handler)
+      throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress(host, port), BACKLOG);
+    ExecutorService executor = Executors.newCachedThreadPool();
+    StandInServer started = new StandInServer(server, executor, faults, handler);
+    server.createContext("/", started::serve);
+    server.setExecutor(executor);
+    server.start();
+    return started;
+  }
+
+  public InetSocketAddress address() {
+    return server.getAddress();
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    executor.shutdownNow();
+  }
+
+  // An exception that leaves this method closes the connection at once, without the last chunk of a
+  // body: the caller sees the answer cut, as when the process dies. Closing the exchange instead
+  // would end the body in good order.
+  private void serve(HttpExchange exchange) throws IOException {
+    StandInRequest request =
+        new StandInRequest(
+            exchange.getRequestMethod(),
+            exchange.getRequestURI(),
+            exchange.getRequestHeaders(),
+            exchange.getRequestBody().readAllBytes());
+    try {
+      if (request.path().startsWith("/control/")) {
+        answer(exchange, control(request));
+        return;
+      }
+      StandInReply reply = replyUnderFaults(request);
+      if (!request.method().equals("GET") && faults.takeLostAnswer()) {
+        throw new IOException("answer lost by an injected fault");
+      }
+      answer(exchange, reply);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("stopped", e);
+    }
+  }
+
+  private StandInReply replyUnderFaults(StandInRequest request)
+      throws IOException, InterruptedException {
+    faults.awaitThaw();
+    Thread.sleep(faults.current().slowMillis());
+    if (faults.current().outage()) {
+      return StandInReply.refusal(
+          ResultCode.LOG_UNAVAILABLE, "outage injected", OUTAGE_RETRY.toMillis());
+    }
+    return reply(request);
+  }
+
+  private StandInReply control(StandInRequest request) throws IOException, InterruptedException {
+    if (request.is("PUT", "/control/faults")) {
+      faults.set(request.json(Faults.class));
+      return StandInReply.empty();
+    }
+    if (request.is("GET", "/control/faults")) {
+      return StandInReply.json(faults.current());
+    }
+    return reply(request);
+  }
+
+  private StandInReply reply(StandInRequest request) throws IOException, InterruptedException {
+    try {
+      return handler.handle(request);
+    } catch (ResultException e) {
+      long retryAfterMillis =
+          e.retryAt()
+              .map(at -> Math.max(1, Duration.between(Instant.now(), at).toMillis()))
+              .orElse(0L);
+      return StandInReply.refusal(e.code(), e.getMessage(), retryAfterMillis);
+    } catch (IllegalArgumentException e) {
+      return StandInReply.refusal(ResultCode.MALFORMED_REQUEST, e.getMessage());
+    }
+  }
+
+  private static void answer(HttpExchange exchange, StandInReply reply)
+      throws IOException, InterruptedException {
+    if (reply.writer().isPresent()) {
+      exchange.getResponseHeaders().set("Content-Type", "application/x-ndjson");
+      exchange.sendResponseHeaders(reply.status(), 0);
+      OutputStream out = exchange.getResponseBody();
+      reply.writer().get().write(out);
+      out.close();
+      return;
+    }
+    exchange.getResponseHeaders().set("Content-Type", "application/json");
+    boolean empty = reply.body().length == 0;
+    exchange.sendResponseHeaders(reply.status(), empty ? -1 : reply.body().length);
+    if (!empty) {
+      exchange.getResponseBody().write(reply.body());
+    }
+    exchange.close();
+  }
+}
