Claim calls that may run once only on the log, first claim in order wins

Cause: a call such as posting an incentive may reach two agents: the caller sends it to two entries, or an entry tries another agent after a lost link. Change: ClaimLedger (core) decides by the order of the log, ClaimWriter (agent) appends claims in groups and reads them back; a lost append answer is settled by reading, an outage refuses as not run with a time to retry, and a claim that turns up after such a refusal lies idle until it is asked for again. A key must carry its time (UUID of version 7, or time/text): without its age a key that comes back after the log dropped its claim would run a second time. Ruled out: hashing a key to one live agent (views of membership differ), opaque keys (age unknown), Object.hashCode of a record for the bucket (not specified across JVM releases; two agents would look at different streams).

--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/ClaimBucket.java
@@ -0,0 +1,251 @@
+package dev.ibishub.agent;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.ClaimKey;
+import dev.ibishub.core.ClaimLedger;
+import dev.ibishub.core.ClaimRecord;
+import dev.ibishub.core.ClaimRequest;
+import dev.ibishub.core.ClaimResult;
+import dev.ibishub.core.ProcessIncarnation;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
+import dev.ibishub.platform.AppendOnlyLog;
+import dev.ibishub.platform.LogPage;
+import dev.ibishub.platform.LogRecord;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One stream of claims: its reader, its ledger and the claims that wait for it. Thread-safe: all
+ * state is under the bucket's lock, and no future is completed and no log called while it is held.
+ */
+final class ClaimBucket {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int PAGE_RECORDS = 500;
+  private static final long UNKNOWN = -1;
+
+  private final String stream;
+  private final AppendOnlyLog log;
+  private final ProcessIncarnation self;
+  private final ClaimWriterOptions options;
+  private final InstantSource clock;
+  private final Timer timer;
+  private final ClaimLedger ledger;
+  private final WaitingClaims waiting = new WaitingClaims();
+  private long nextOffset;
+  private long endAtStart = UNKNOWN;
+  private boolean appending;
+  private Instant nextAppendAt = Instant.MIN;
+  private boolean closed;
+
+  ClaimBucket(
+      String stream,
+      AppendOnlyLog log,
+      ProcessIncarnation self,
+      ClaimWriterOptions options,
+      InstantSource clock,
+      Timer timer) {
+    this.stream = stream;
+    this.log = log;
+    this.self = self;
+    this.options = options;
+    this.clock = clock;
+    this.timer = timer;
+    this.ledger = ClaimLedger.create(self, options.ledger());
+  }
+
+  CompletableFuture<ClaimResult> claim(ClaimRequest request) {
+    Instant now = clock.instant();
+    WaitingClaim claim = new WaitingClaim(request, new CompletableFuture<>());
+    synchronized (this) {
+      if (!isReady()) {
+        return CompletableFuture.failedFuture(
+            refusal(ResultCode.NOT_READY, "the claims on the log are not read yet", now));
+      }
+      try {
+        Optional<ClaimResult> known = ledger.tryClaim(request, now);
+        if (known.isPresent()) {
+          return CompletableFuture.completedFuture(known.get());
+        }
+      } catch (ResultException e) {
+        return CompletableFuture.failedFuture(e);
+      }
+      waiting.add(claim);
+    }
+    timer.at(earlier(request.deadline(), now.plus(options.patience())), () -> giveUp(claim));
+    append();
+    return claim.result();
+  }
+
+  synchronized void notStarted(ClaimKey key, String attemptId) {
+    ledger.notStarted(key, attemptId);
+  }
+
+  synchronized void finished(ClaimKey key, String attemptId) {
+    ledger.finished(key, attemptId);
+  }
+
+  synchronized boolean isReady() {
+    return endAtStart != UNKNOWN && nextOffset >= endAtStart;
+  }
+
+  synchronized void close() {
+    closed = true;
+  }
+
+  /** Reads on from where the last read ended, and goes on for as long as the bucket is open. */
+  void read() {
+    long from;
+    Instant waitUntil = clock.instant();
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      from = nextOffset;
+      // The first read is to tell at once how far the stream goes, also when it is empty.
+      waitUntil = endAtStart == UNKNOWN ? waitUntil : waitUntil.plus(options.longPoll());
+    }
+    var unused =
+        log.read(stream, from, PAGE_RECORDS, waitUntil)
+            .whenComplete((page, failure) -> onRead(page, failure));
+  }
+
+  private void onRead(LogPage page, Throwable failure) {
+    Instant now = clock.instant();
+    if (failure != null) {
+      logger.atWarning().log("event=claims_read_failed stream=%s error=%s", stream, failure);
+      timer.at(now.plus(options.readBackoff()), this::read);
+      return;
+    }
+    List<Runnable> decided = new ArrayList<>();
+    synchronized (this) {
+      endAtStart = endAtStart == UNKNOWN ? page.nextOffset() : endAtStart;
+      for (LogRecord record : page.records()) {
+        apply(record.offset(), ClaimCodec.decode(record.payload()), now, decided);
+      }
+      nextOffset = Math.max(nextOffset, page.firstKept());
+    }
+    decided.forEach(Runnable::run);
+    timer.at(now, this::read);
+  }
+
+  /**
+   * Sends what waits as one append, unless one is under way. Claims that come meanwhile gather for
+   * the next.
+   */
+  private void append() {
+    Instant now = clock.instant();
+    synchronized (this) {
+      if (appending || closed || waiting.isAllSent()) {
+        return;
+      }
+      appending = true;
+      if (now.isBefore(nextAppendAt)) {
+        timer.at(nextAppendAt, this::appendNow);
+        return;
+      }
+    }
+    appendNow();
+  }
+
+  private void appendNow() {
+    List<ClaimRecord> batch;
+    synchronized (this) {
+      batch = waiting.takeUnsent(self, options.maximumBatch());
+      nextAppendAt = clock.instant().plus(options.appendInterval());
+      if (batch.isEmpty()) {
+        appending = false;
+        return;
+      }
+    }
+    var unused =
+        log.append(stream, ClaimCodec.encode(self, batch))
+            .whenComplete((offset, failure) -> onAppended(batch, offset, failure));
+  }
+
+  private void onAppended(List<ClaimRecord> batch, Long offset, Throwable failure) {
+    Instant now = clock.instant();
+    List<Runnable> decided = new ArrayList<>();
+    synchronized (this) {
+      appending = false;
+      if (failure == null && offset == nextOffset) {
+        // All records before this one were read, so it need not be read back to be decided.
+        apply(offset, batch, now, decided);
+      } else if (failure != null && isSurelyNotAppended(failure)) {
+        ResultException refusal =
+            refusal(ResultCode.LOG_UNAVAILABLE, "the log takes no claims", now);
+        batch.forEach(
+            claim ->
+                waiting.remove(claim.claimKey()).forEach(one -> refuse(one, refusal, decided)));
+      }
+      // After a lost answer nothing is known: reading on shows whether the record is there.
+    }
+    decided.forEach(Runnable::run);
+    append();
+  }
+
+  /**
+   * Applies a record at its offset, once: the append's own answer and the reader may both bring it.
+   */
+  private void apply(long offset, List<ClaimRecord> claims, Instant now, List<Runnable> decided) {
+    if (offset < nextOffset) {
+      return;
+    }
+    nextOffset = offset + 1;
+    for (ClaimRecord claim : claims) {
+      ledger.apply(claim, now);
+      waiting.remove(claim.claimKey()).forEach(one -> decide(one, now, decided));
+    }
+  }
+
+  private void decide(WaitingClaim claim, Instant now, List<Runnable> decided) {
+    try {
+      Optional<ClaimResult> result = ledger.tryClaim(claim.request(), now);
+      if (result.isPresent()) {
+        decided.add(() -> claim.result().complete(result.get()));
+      } else {
+        refuse(claim, refusal(ResultCode.LOG_UNAVAILABLE, "the claim was not kept", now), decided);
+      }
+    } catch (ResultException e) {
+      refuse(claim, e, decided);
+    }
+  }
+
+  /**
+   * Refuses a claim that the log left without an answer for too long. The call was not started, and
+   * no later reading starts it: the claim no longer waits.
+   */
+  private void giveUp(WaitingClaim claim) {
+    Instant now = clock.instant();
+    synchronized (this) {
+      if (!waiting.remove(claim)) {
+        return;
+      }
+    }
+    claim
+        .result()
+        .completeExceptionally(
+            refusal(ResultCode.LOG_UNAVAILABLE, "the log did not confirm the claim in time", now));
+  }
+
+  private static void refuse(WaitingClaim claim, ResultException why, List<Runnable> decided) {
+    decided.add(() -> claim.result().completeExceptionally(why));
+  }
+
+  private ResultException refusal(ResultCode code, String detail, Instant now) {
+    return new ResultException(code, detail, now.plus(options.patience()));
+  }
+
+  private static boolean isSurelyNotAppended(Throwable failure) {
+    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+    return cause instanceof ResultException known && known.code() == ResultCode.LOG_UNAVAILABLE;
+  }
+
+  private static Instant earlier(Instant one, Instant other) {
+    return one.isBefore(other) ? one : other;
+  }
+}
