Add bin/bench, which runs one bench and writes its tables and plots

Cause: measurements need one launcher, one form of report and a fixed seed. A new bench implements Bench and adds itself to BENCHES in BenchMain.

--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -0,0 +1,69 @@
+package dev.ibishub.bench;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** The program behind {@code bin/bench}: runs one bench and writes its report. */
+public final class BenchMain {
+  private static final int USAGE = 2;
+  private static final List<Bench> BENCHES = List.of();
+
+  private BenchMain() {}
+
+  /**
+   * Runs the bench that the command line names.
+   *
+   * @param arguments as {@code --help} lists them
+   * @throws IOException when a report cannot be written
+   */
+  public static void main(String[] arguments) throws IOException {
+    System.setProperty("java.awt.headless", "true");
+    OptionParser parser = new OptionParser();
+    OptionSpec<Long> seed =
+        parser
+            .accepts("seed", "seed of all randomness")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(1L);
+    OptionSpec<String> folder =
+        parser
+            .accepts("folder", "where the JSON and the picture go")
+            .withRequiredArg()
+            .defaultsTo("target/bench");
+    OptionSpec<String> names = parser.nonOptions("name of the bench: " + names());
+    try {
+      OptionSet options = parser.parse(arguments);
+      Optional<Bench> bench = named(options.valuesOf(names));
+      if (bench.isEmpty()) {
+        System.err.println("usage: bin/bench NAME [--seed N] [--folder PATH]; NAME: " + names());
+        System.exit(USAGE);
+      }
+      run(bench.orElseThrow(), options.valueOf(seed), Path.of(options.valueOf(folder)));
+    } catch (OptionException wrong) {
+      System.err.println(wrong.getMessage());
+      System.exit(USAGE);
+    }
+  }
+
+  private static void run(Bench bench, long seed, Path folder) throws IOException {
+    System.out.printf("bench %s, seed %d%n%n", bench.name(), seed);
+    BenchReport report = bench.run(seed);
+    ReportWriter.print(report, System.out);
+    ReportWriter.write(bench.name(), seed, report, folder);
+  }
+
+  private static Optional<Bench> named(List<String> names) {
+    return BENCHES.stream().filter(bench -> names.equals(List.of(bench.name()))).findFirst();
+  }
+
+  private static String names() {
+    return BENCHES.stream().map(Bench::name).collect(Collectors.joining(", "));
+  }
+}
