Send open-loop load and check that each answer is whole, own and given once

Change: ibishub-load. A refusal as not run is sent again after Retry-After, a broken stream is joined again at another entry, a call that may not be repeated goes out again only with its key. At the end the stand-ins' records are held against what callers were told.

--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/LoadMain.java
@@ -0,0 +1,123 @@
+package dev.ibishub.standins;
+
+import dev.ibishub.platform.PlatformHttp;
+import dev.ibishub.platform.PlatformJson;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * The program {@code ibishub-load}: open-loop load that checks every answer. It exits with 0 when
+ * all held, 1 on a breach (an answer lost, doubled, wrong or partial), 2 on wrong options and 3
+ * when it could not send all that was due.
+ */
+public final class LoadMain {
+  private static final int EXIT_BREACH = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_NOT_SENT = 3;
+  private static final long WARM_UP_NANOS = 200_000_000;
+
+  private LoadMain() {}
+
+  /**
+   * Runs the load that the arguments describe.
+   *
+   * @throws IOException when a file cannot be read or written
+   */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    OptionParser parser = LoadOptions.parser();
+    LoadOptions options = null;
+    try {
+      OptionSet parsed = parser.parse(arguments);
+      if (parsed.has("help")) {
+        parser.printHelpOn(System.out);
+        return;
+      }
+      options = LoadOptions.of(parsed);
+    } catch (OptionException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      System.err.println("ibishub-load: " + e.getMessage() + "; see --help");
+      System.exit(EXIT_USAGE);
+    }
+    LoadReport report = run(options);
+    System.out.print(report.text());
+    if (options.reportFile().isPresent()) {
+      Files.write(options.reportFile().get(), PlatformJson.write(report));
+    }
+    System.exit(exitCode(report));
+  }
+
+  /** Runs a load to its end, audit included. */
+  static LoadReport run(LoadOptions options) throws IOException, InterruptedException {
+    ExecutorService executor = Executors.newCachedThreadPool();
+    try {
+      HttpClient client = PlatformHttp.newClient(executor);
+      long startNanos = System.nanoTime() + WARM_UP_NANOS;
+      LoadRecorder recorder = new LoadRecorder(startNanos);
+      send(options, client, executor, startNanos, recorder);
+      List<String> audit = ExecutionAudit.check(client, options, recorder.endings());
+      return recorder.report(options, audit);
+    } finally {
+      executor.shutdownNow();
+    }
+  }
+
+  private static int exitCode(LoadReport report) {
+    if (report.breachCount() > 0) {
+      return EXIT_BREACH;
+    }
+    return report.notSent() > 0 ? EXIT_NOT_SENT : 0;
+  }
+
+  private static void send(
+      LoadOptions options,
+      HttpClient client,
+      ExecutorService executor,
+      long startNanos,
+      LoadRecorder recorder)
+      throws IOException, InterruptedException {
+    AddressBook addresses = new AddressBook(client, options.entries());
+    Caller caller = new Caller(client, options);
+    LoadPlan plan = LoadPlan.create(options);
+    Semaphore inFlight = new Semaphore(options.mostAtOnce());
+    Optional<PlannedRequest> next = plan.next();
+    while (next.isPresent()) {
+      PlannedRequest request = next.get();
+      sleepUntil(startNanos + request.intendedNanos());
+      if (inFlight.tryAcquire()) {
+        CallerSession session = new CallerSession(request, caller, addresses, options, startNanos);
+        executor.execute(() -> runSession(session, recorder, inFlight));
+      } else {
+        recorder.countNotSent();
+      }
+      next = plan.next();
+    }
+    // Every session ends by itself within its patience.
+    inFlight.acquire(options.mostAtOnce());
+  }
+
+  private static void runSession(CallerSession session, LoadRecorder recorder, Semaphore inFlight) {
+    try {
+      recorder.record(session.run());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      inFlight.release();
+    }
+  }
+
+  private static void sleepUntil(long nanos) throws InterruptedException {
+    long left = nanos - System.nanoTime();
+    if (left > 0) {
+      TimeUnit.NANOSECONDS.sleep(left);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
@@ -0,0 +1,174 @@
+package dev.ibishub.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.ibishub.platform.PlatformJson;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Settles arrivals and requests of a run from its seed alone. Not thread-safe.
+ *
+ * <p>A made-up prompt begins with a text that all prompts of its workspace share, and ends with the
+ * run's seed and the request's number, so that no two requests have the same answer.
+ */
+final class LoadPlan {
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final List<String> WORDS =
+      List.of(
+          "bridge",
+          "vineyard",
+          "harvest",
+          "river",
+          "proverb",
+          "lantern",
+          "market",
+          "winter",
+          "questionnaire",
+          "household",
+          "brand",
+          "tea",
+          "price",
+          "quality",
+          "school",
+          "song");
+
+  private final LoadOptions options;
+  private final SplittableRandom random;
+  private final List<FiledRequest> filed;
+  private double nextNanos;
+  private int nextNumber;
+
+  /**
+   * A line of a request file.
+   *
+   * @param workspace name of the workspace that sends it
+   * @param endpoint the path
+   * @param body the JSON to send
+   * @param once whether it may not be repeated
+   */
+  record FiledRequest(String workspace, String endpoint, JsonNode body, boolean once) {}
+
+  private LoadPlan(LoadOptions options, List<FiledRequest> filed) {
+    this.options = options;
+    this.random = new SplittableRandom(options.seed());
+    this.filed = filed;
+  }
+
+  /**
+   * Creates a plan.
+   *
+   * @throws IOException when the request file cannot be read
+   */
+  static LoadPlan create(LoadOptions options) throws IOException {
+    List<FiledRequest> filed = new ArrayList<>();
+    if (options.requestFile().isPresent()) {
+      for (String line : Files.readAllLines(options.requestFile().get())) {
+        filed.add(PlatformJson.read(line, FiledRequest.class));
+      }
+    }
+    return new LoadPlan(options, List.copyOf(filed));
+  }
+
+  /** Settles the next request; empty when the run's time is over. */
+  Optional<PlannedRequest> next() {
+    nextNanos += interval();
+    if (nextNanos > options.durationSeconds() * NANOS_PER_SECOND) {
+      return Optional.empty();
+    }
+    int number = nextNumber++;
+    return Optional.of(filed.isEmpty() ? madeUp(number) : filed(number));
+  }
+
+  private double interval() {
+    double mean = NANOS_PER_SECOND / options.rate();
+    return options.poisson() ? -Math.log(1 - random.nextDouble()) * mean : mean;
+  }
+
+  private PlannedRequest filed(int number) {
+    FiledRequest request = filed.get(number % filed.size());
+    LoadOptions.Workspace workspace =
+        options.workspaces().stream()
+            .filter(known -> known.name().equals(request.workspace()))
+            .findFirst()
+            .orElse(options.workspaces().get(0));
+    return planned(number, workspace, "POST", request.endpoint(), request.body(), request.once());
+  }
+
+  private PlannedRequest madeUp(int number) {
+    LoadOptions.Workspace workspace = pick(options.workspaces(), LoadOptions.Workspace::share);
+    if (!options.service().isEmpty() && random.nextDouble() < options.serviceShare()) {
+      return serviceCall(number, workspace);
+    }
+    boolean chat = random.nextDouble() < options.chatShare();
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("model", pick(options.models(), LoadOptions.Share::share).name());
+    body.put("max_tokens", pick(options.answerTokens()));
+    body.put("stream", random.nextDouble() >= options.wholeShare());
+    if (chat) {
+      ObjectNode message = body.putArray("messages").addObject();
+      message.put("role", "user");
+      message.put("content", prompt(workspace, number));
+    } else {
+      body.put("prompt", prompt(workspace, number));
+    }
+    String path = chat ? "/v1/chat/completions" : "/v1/completions";
+    return planned(number, workspace, "POST", path, body, false);
+  }
+
+  private PlannedRequest serviceCall(int number, LoadOptions.Workspace workspace) {
+    String base = "/services/" + options.service();
+    if (random.nextDouble() >= options.onceShare()) {
+      return planned(number, workspace, "GET", base + "/lookups/" + number, null, false);
+    }
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("panelist", options.seed() + "-" + number);
+    body.put("points", 1 + random.nextInt(50));
+    return planned(number, workspace, "POST", base + "/incentives", body, true);
+  }
+
+  private PlannedRequest planned(
+      int number,
+      LoadOptions.Workspace workspace,
+      String method,
+      String path,
+      JsonNode body,
+      boolean once) {
+    Optional<String> key =
+        once ? Optional.of("load-" + options.seed() + "-" + number) : Optional.empty();
+    return new PlannedRequest(
+        number, (long) nextNanos, workspace, method, path, Optional.ofNullable(body), key);
+  }
+
+  private String prompt(LoadOptions.Workspace workspace, int number) {
+    StringBuilder prompt = new StringBuilder();
+    prompt.append("You write for the readers of ").append(workspace.name());
+    prompt.append(". Give a short definition and one example sentence, in plain words. ");
+    int words = pick(options.promptWords());
+    for (int word = 0; word < words; word++) {
+      prompt.append(WORDS.get(random.nextInt(WORDS.size()))).append(' ');
+    }
+    return prompt.append(options.seed()).append('-').append(number).toString();
+  }
+
+  private int pick(LoadOptions.Range range) {
+    return random.nextInt(range.lowest(), range.highest() + 1);
+  }
+
+  private <T> T pick(List<T> choices, ToDoubleFunction<T> share) {
+    double point = random.nextDouble() * choices.stream().mapToDouble(share).sum();
+    for (T choice : choices) {
+      point -= share.applyAsDouble(choice);
+      if (point < 0) {
+        return choice;
+      }
+    }
+    return choices.get(choices.size() - 1);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/StreamedAnswer.java
@@ -0,0 +1,83 @@
+package dev.ibishub.standins;
+
+import java.util.Optional;
+
+/**
+ * A streamed answer as the caller puts it together, over several connections if need be.
+ * Thread-safe.
+ */
+final class StreamedAnswer {
+  private final StringBuilder text = new StringBuilder();
+  private long nextChunk;
+  private int restarts;
+  private Integer endCode;
+  private Problem problem;
+  private String breach;
+
+  synchronized long nextChunk() {
+    return nextChunk;
+  }
+
+  synchronized int restarts() {
+    return restarts;
+  }
+
+  synchronized String text() {
+    return text.toString();
+  }
+
+  synchronized Optional<Integer> endCode() {
+    return Optional.ofNullable(endCode);
+  }
+
+  synchronized Optional<Problem> problem() {
+    return Optional.ofNullable(problem);
+  }
+
+  /** What was wrong with the answer, of the things that must never happen. */
+  synchronized Optional<String> breach() {
+    return Optional.ofNullable(breach);
+  }
+
+  synchronized void breach(String detail) {
+    breach = detail;
+  }
+
+  synchronized void chunk(long number, String chunk) {
+    if (endCode != null) {
+      breach("chunk " + number + " after the end");
+    } else if (number >= 0 && number < nextChunk) {
+      breach("duplicate: chunk " + number + " where " + nextChunk + " was due");
+    } else if (number > nextChunk) {
+      breach("partial: chunk " + number + " where " + nextChunk + " was due");
+    } else {
+      text.append(chunk);
+      nextChunk++;
+    }
+  }
+
+  synchronized void restart() {
+    text.setLength(0);
+    nextChunk = 0;
+    restarts++;
+  }
+
+  synchronized void fail(Problem failure) {
+    problem = failure;
+  }
+
+  synchronized void forgetProblem() {
+    problem = null;
+  }
+
+  synchronized void end(long chunks, int resultCode) {
+    if (endCode != null) {
+      breach("duplicate: a second end");
+      return;
+    }
+    endCode = resultCode;
+    if (resultCode == 0 && chunks != nextChunk) {
+      breach("partial: " + nextChunk + " of " + chunks + " chunks");
+    }
+  }
+}
