--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/internal/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers of the configuration's acceptance. */
+package dev.ibishub.core.internal.configuration;
