--- /dev/null
+++ b/cli/src/main/java/dev/ibishub/cli/Main.java
@@ -0,0 +1,20 @@
+package dev.ibishub.cli;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+/** The program {@code ibishub}. */
+public final class Main {
+  private Main() {}
+
+  /**
+   * Runs the program and ends the process with the exit code that docs/OPERATIONS.md lists.
+   *
+   * @param arguments the command line
+   */
+  public static void main(String[] arguments) {
+    PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
+    PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
+    System.exit(new CommandLine(System.getenv(), out, err).run(arguments).number());
+  }
+}
