Measure fairness while one workspace floods (bin/bench fairness)

Change: an engine model that batches continuously, a target model around the real FairQueue and ConcurrencyLimit, four policies beside the small workspaces alone. Conclusion: plain start-time fair queueing makes a small workspace wait whenever two of its requests meet at one target within the time in which its share pays for the first.

--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -1,5 +1,6 @@
 package dev.ibishub.bench;
 
+import dev.ibishub.bench.fairness.FairnessBench;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -13,7 +14,7 @@
 /** The program behind {@code bin/bench}: runs one bench and writes its report. */
 public final class BenchMain {
   private static final int USAGE = 2;
-  private static final List<Bench> BENCHES = List.of();
+  private static final List<Bench> BENCHES = List.of(new FairnessBench());
 
   private BenchMain() {}
 
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/fairness/FloodRun.java
@@ -0,0 +1,142 @@
+package dev.ibishub.bench.fairness;
+
+import dev.ibishub.bench.model.EngineParameters;
+import dev.ibishub.bench.model.EventQueue;
+import dev.ibishub.bench.model.ModelRequest;
+import dev.ibishub.bench.model.TargetModel;
+import dev.ibishub.bench.model.Workload;
+import dev.ibishub.core.RouteQuery;
+import dev.ibishub.core.Router;
+import dev.ibishub.core.RouterOptions;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+
+/** One run of a mix of workspaces under one policy. */
+final class FloodRun {
+  static final int TARGETS = 16;
+  private static final int ENTRIES = 6;
+  private static final double WARM_UP = 10;
+  private static final double END = 50;
+  private static final double REPORT_PERIOD = 0.2;
+  private static final double MICROS = 1e6;
+
+  private final EventQueue events = new EventQueue();
+  private final Policy policy;
+  private final List<TargetModel> targets;
+  private final List<Router> routers;
+  private final Random random;
+  private final Map<String, Double> served = new HashMap<>();
+  private final Histogram smallFirstToken = new Histogram(3);
+  private final Map<String, Integer> runningPerWorkspace = new HashMap<>();
+  private int nextTarget;
+
+  private FloodRun(Policy policy, long seed) {
+    this.policy = policy;
+    this.random = new Random(seed);
+    this.targets =
+        IntStream.range(0, TARGETS)
+            .mapToObj(
+                number ->
+                    new TargetModel(
+                        "target-" + number,
+                        "zone-" + number % 3,
+                        Set.of("model"),
+                        events,
+                        EngineParameters.defaults(),
+                        policy.discipline(),
+                        this::ended))
+            .toList();
+    this.routers =
+        IntStream.range(0, ENTRIES)
+            .mapToObj(number -> Router.create(RouterOptions.defaults()))
+            .toList();
+  }
+
+  /** Runs the workloads; those whose workspace begins with "small" are the ones looked at. */
+  static Result run(Policy policy, List<Workload> workloads, long seed) {
+    FloodRun run = new FloodRun(policy, seed);
+    return run.go(workloads, seed);
+  }
+
+  private Result go(List<Workload> workloads, long seed) {
+    events.every(REPORT_PERIOD, this::report);
+    report();
+    IntStream.range(0, workloads.size())
+        .forEach(
+            number ->
+                workloads
+                    .get(number)
+                    .send(events, new Random(seed + number), 0, END, this::arrived));
+    events.runUntil(END);
+    return new Result(
+        smallFirstToken.getValueAtPercentile(50) / MICROS,
+        smallFirstToken.getValueAtPercentile(95) / MICROS,
+        smallFirstToken.getValueAtPercentile(99) / MICROS,
+        served.values().stream().mapToDouble(Double::doubleValue).sum() / (END - WARM_UP),
+        Map.copyOf(served));
+  }
+
+  private void arrived(ModelRequest request, double draw) {
+    if (policy.quota() > 0
+        && runningPerWorkspace.getOrDefault(request.workspace(), 0) >= policy.quota()) {
+      return;
+    }
+    runningPerWorkspace.merge(request.workspace(), 1, Integer::sum);
+    if (!policy.routed()) {
+      targets.get(nextTarget++ % TARGETS).submit(request);
+      return;
+    }
+    Router router = routers.get((int) (draw * ENTRIES));
+    RouteQuery query = new RouteQuery("model", "zone-0", 0, request.estimatedTokens(), Set.of());
+    String chosen = router.choose(query, events.now(), random).orElseThrow();
+    router.sent(chosen, request.estimatedTokens(), events.now());
+    targets.stream()
+        .filter(target -> target.id().equals(chosen))
+        .findFirst()
+        .orElseThrow()
+        .submit(request);
+  }
+
+  private void ended(ModelRequest request) {
+    runningPerWorkspace.merge(request.workspace(), -1, Integer::sum);
+    if (events.seconds() < WARM_UP) {
+      return;
+    }
+    served.merge(request.workspace(), request.actualTokens(), Double::sum);
+    if (request.workspace().startsWith("small")) {
+      smallFirstToken.recordValue((long) (request.firstTokenSeconds() * MICROS));
+    }
+  }
+
+  private void report() {
+    targets.forEach(
+        target -> routers.forEach(router -> router.report(target.status(), events.now())));
+  }
+
+  /**
+   * How work is shared.
+   *
+   * @param name in the table
+   * @param discipline of the targets' queues
+   * @param routed whether the router chooses, else targets take turns
+   * @param quota most requests of one workspace at the same time; 0 for none
+   */
+  record Policy(String name, TargetModel.Discipline discipline, boolean routed, int quota) {}
+
+  /**
+   * What was measured after the warm-up.
+   *
+   * @param p50 time to first token of the small workspaces, in seconds
+   * @param p95 the same
+   * @param p99 the same
+   * @param throughput tokens a second of all workspaces
+   * @param served tokens of each workspace
+   */
+  record Result(
+      double p50, double p95, double p99, double throughput, Map<String, Double> served) {}
+}
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what small workspaces feel while a large one floods. */
+package dev.ibishub.bench.fairness;
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/model/TargetModel.java
@@ -0,0 +1,156 @@
+package dev.ibishub.bench.model;
+
+import dev.ibishub.core.ConcurrencyLimit;
+import dev.ibishub.core.ConcurrencyLimitOptions;
+import dev.ibishub.core.FairQueue;
+import dev.ibishub.core.QueuedWork;
+import dev.ibishub.core.TargetStatus;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * A target as its agent runs it, with the real queue and the real limit before an engine. Not
+ * thread-safe.
+ */
+public final class TargetModel {
+  private static final double RATE_SMOOTHING = 0.2;
+
+  private final String id;
+  private final String zone;
+  private final Set<String> served;
+  private final EventQueue events;
+  private final Discipline discipline;
+  private final FairQueue<ModelRequest> queue = FairQueue.create();
+  private final ConcurrencyLimit limit;
+  private final EngineModel engine;
+  private final Consumer<ModelRequest> onEnd;
+  private double tokensPerSecond;
+  private double tokensSinceMeasured;
+  private double measuredAt;
+  private boolean leaving;
+
+  /** Creates an idle target. */
+  public TargetModel(
+      String id,
+      String zone,
+      Set<String> served,
+      EventQueue events,
+      EngineParameters parameters,
+      Discipline discipline,
+      Consumer<ModelRequest> onEnd) {
+    this.id = id;
+    this.zone = zone;
+    this.served = Set.copyOf(served);
+    this.events = events;
+    this.discipline = discipline;
+    this.onEnd = onEnd;
+    this.engine = new EngineModel(events, parameters, this::ended);
+    this.limit =
+        ConcurrencyLimit.create(
+            new ConcurrencyLimitOptions(
+                4, parameters.largestBatch(), parameters.largestBatch(), 0.025, 2));
+    events.every(0.5, this::measure);
+  }
+
+  public String id() {
+    return id;
+  }
+
+  public EngineModel engine() {
+    return engine;
+  }
+
+  public int queued() {
+    return queue.size();
+  }
+
+  public int limit() {
+    return limit.limit();
+  }
+
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Takes a request: it waits until the queue's order and the limit let it start. */
+  public void submit(ModelRequest request) {
+    queue.offer(
+        new QueuedWork<>(
+            request.id(),
+            discipline == Discipline.FAIR ? request.workspace() : "all",
+            discipline == Discipline.FAIR ? request.weight() : 1,
+            0,
+            request.estimatedTokens(),
+            events.instant(request.deadlineAt()),
+            request));
+    startNext();
+  }
+
+  /** Takes out what has expired in the queue. */
+  public List<ModelRequest> removeExpired() {
+    return queue.removeExpired(events.now()).stream().map(QueuedWork::item).toList();
+  }
+
+  /** What the agent reports now. */
+  public TargetStatus status() {
+    return new TargetStatus(
+        id,
+        zone,
+        leaving,
+        true,
+        queue.size(),
+        engine.running(),
+        limit.limit(),
+        queue.queuedTokens(),
+        tokensPerSecond,
+        served,
+        events.now());
+  }
+
+  private void startNext() {
+    while (queue.size() > 0 && limit.tryAcquire()) {
+      Optional<QueuedWork<ModelRequest>> next = queue.poll(events.now());
+      if (next.isEmpty()) {
+        limit.release(new ConcurrencyLimit.Sample(events.now(), events.now(), 0, false));
+        return;
+      }
+      engine.start(next.orElseThrow().item(), false);
+    }
+  }
+
+  private void ended(ModelRequest request) {
+    tokensSinceMeasured += request.actualTokens();
+    limit.release(
+        new ConcurrencyLimit.Sample(
+            events.instant(request.startedAt()), events.now(), request.outputTokens(), false));
+    queue.completed(
+        discipline == Discipline.FAIR ? request.workspace() : "all",
+        request.estimatedTokens(),
+        request.actualTokens());
+    onEnd.accept(request);
+    startNext();
+  }
+
+  private void measure() {
+    double seconds = events.seconds() - measuredAt;
+    double rate = tokensSinceMeasured / seconds;
+    boolean busy = queue.size() > 0 || engine.running() >= limit.limit();
+    if (tokensPerSecond == 0 || rate > tokensPerSecond) {
+      tokensPerSecond = rate;
+    } else if (busy) {
+      tokensPerSecond += RATE_SMOOTHING * (rate - tokensPerSecond);
+    }
+    tokensSinceMeasured = 0;
+    measuredAt = events.seconds();
+  }
+
+  /** In which order work that waits is started. */
+  public enum Discipline {
+    /** In the order of arrival. */
+    FIRST_IN_FIRST_OUT,
+    /** By start-time fair queueing over workspaces. */
+    FAIR
+  }
+}
