Let idle workspaces burst, keep places for urgent work, ignore noise in waits

Three causes: a second request at one target waited until the small share had paid for the first; all places were held by long answers; the router always took the least of nearly equal estimates, so the same targets got up to twice their part of the urgent work.

--- a/core/src/main/java/dev/ibishub/core/ConcurrencyLimit.java
+++ b/core/src/main/java/dev/ibishub/core/ConcurrencyLimit.java
@@ -54,6 +54,20 @@
     return true;
   }
 
+  /**
+   * Takes a place for urgent work, which may use a few places above the limit. A workspace that
+   * uses less than its share then need not wait for a long answer of another to end.
+   *
+   * @return false when those places are taken too
+   */
+  public synchronized boolean tryAcquireReserved() {
+    if (running >= (int) limit + options.reserved()) {
+      return false;
+    }
+    running++;
+    return true;
+  }
+
   /**
    * Gives a place back and learns from the work that had it.
    *
--- a/core/src/main/java/dev/ibishub/core/FairQueue.java
+++ b/core/src/main/java/dev/ibishub/core/FairQueue.java
@@ -16,19 +16,30 @@
  * Estimates are charged when work is handed out and corrected when it has completed.
  *
  * <p>Every command takes time logarithmic in the work and workspaces that wait. A workspace without
- * work is forgotten once the others have caught up with it. Thread-safe by one lock: a target's
- * work has one order, so there is nothing to shard.
+ * work is forgotten once the others have caught up with it. After idle time a workspace may use a
+ * short burst at once; work within it is urgent: its workspace has used less than its share.
+ * Thread-safe by one lock: a target's work has one order, so there is nothing to shard.
  *
  * <pre>{@code
  * queue.offer(work);
  * queue.removeExpired(now).forEach(this::refuse);
- * queue.poll(now).ifPresent(this::start);
+ * boolean urgent = queue.isNextUrgent();
+ * if (urgent ? limit.tryAcquireReserved() : limit.tryAcquire()) {
+ *   queue.poll(now).ifPresent(this::start);
+ * }
  * queue.completed(work.workspace(), work.estimatedTokens(), usedTokens);
  * }</pre>
  *
  * @param <T> type of the items
  */
 public final class FairQueue<T> {
+  /**
+   * Tokens, divided by the weight, that a workspace may be ahead of its share after it has been
+   * idle. Without it two requests of a small workspace that meet at one target wait for each other
+   * as long as its small share takes to pay for the first, however little it uses over all targets.
+   */
+  private static final double BURST_TOKENS = 1000;
+
   private final Map<String, WaitingWork<T>> waitingById = new HashMap<>();
   private final Map<String, Flow<T>> flows = new HashMap<>();
   private final TreeSet<Flow<T>> backlogged = new TreeSet<>(Flow.BY_START);
@@ -61,7 +72,7 @@
     byDeadline.add(waiting);
     queuedTokens += work.estimatedTokens();
     Flow<T> flow = detachedFlow(work.workspace(), work.weight());
-    flow.startNoEarlierThan(virtualTime);
+    flow.startNoEarlierThan(virtualTime - BURST_TOKENS);
     flow.add(waiting);
     attach(flow);
     return true;
@@ -80,17 +91,25 @@
       return Optional.empty();
     }
     Flow<T> flow = detach(backlogged.first());
-    virtualTime = flow.start();
+    virtualTime = Math.max(virtualTime, flow.start());
     WaitingWork<T> first = flow.takeFirst();
     attach(flow);
     forget(first);
     if (backlogged.isEmpty()) {
-      virtualTime = Math.max(virtualTime, idle.last().start());
+      virtualTime = Math.max(virtualTime, idle.last().start() + BURST_TOKENS);
     }
     forgetIdleFlows();
     return Optional.of(first.work());
   }
 
+  /**
+   * Whether the next work is urgent: its workspace has used less than its share, so it may take a
+   * place that is kept free for such work and be read first by the engine.
+   */
+  public synchronized boolean isNextUrgent() {
+    return !backlogged.isEmpty() && backlogged.first().start() < virtualTime;
+  }
+
   /**
    * Withdraws work that still waits.
    *
@@ -121,7 +140,7 @@
 
   /**
    * Corrects the charge for work that was handed out. A workspace that used less than estimated is
-   * paid back, though never below the current virtual time: shares are not saved up.
+   * paid back, though it saves up no more than a short burst.
    *
    * @param workspace that the work was charged to
    * @param estimatedTokens what was charged
@@ -136,7 +155,7 @@
     }
     Flow<T> flow = detachedFlow(workspace, 1);
     flow.charge(difference);
-    flow.startNoEarlierThan(virtualTime);
+    flow.startNoEarlierThan(virtualTime - BURST_TOKENS);
     attach(flow);
     forgetIdleFlows();
   }
@@ -180,7 +199,9 @@
 
   private Flow<T> detachedFlow(String workspace, double weight) {
     Flow<T> known = flows.get(workspace);
-    return known == null ? Flow.startingAt(virtualTime, workspace, weight) : detach(known);
+    return known == null
+        ? Flow.startingAt(virtualTime - BURST_TOKENS, workspace, weight)
+        : detach(known);
   }
 
   private Flow<T> detach(Flow<T> flow) {
@@ -200,7 +221,7 @@
    * work is handed out, nobody is behind anybody.
    */
   private void forgetIdleFlows() {
-    while (!idle.isEmpty() && idle.first().start() <= virtualTime) {
+    while (!idle.isEmpty() && idle.first().start() <= virtualTime - BURST_TOKENS) {
       flows.remove(idle.pollFirst().workspace());
     }
   }
--- a/core/src/main/java/dev/ibishub/core/Router.java
+++ b/core/src/main/java/dev/ibishub/core/Router.java
@@ -6,7 +6,6 @@
 import dev.ibishub.core.internal.routing.TargetState;
 import java.time.Instant;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -202,7 +201,9 @@
       Instant now) {
     return candidates
         .filter(state -> !query.excluded().contains(state.target()) && state.isEligible(now))
-        .min(Comparator.comparingDouble(state -> cost(state, likelyCached, query, now)));
+        .map(state -> new Candidate(state, cost(state, likelyCached, query, now)))
+        .reduce((best, next) -> next.isClearlyCheaperThan(best) ? next : best)
+        .map(Candidate::state);
   }
 
   private double cost(
@@ -240,4 +241,16 @@
   private ServedTargets servedTargets(String served) {
     return byServed.computeIfAbsent(served, name -> new ServedTargets());
   }
+
+  /**
+   * Estimates are noisy. Were the least of nearly equal ones always taken, the same targets would
+   * win each time; so the candidate that was drawn first stays unless another is clearly cheaper.
+   */
+  private record Candidate(TargetState state, double cost) {
+    private static final double CLEARLY = 0.9;
+
+    boolean isClearlyCheaperThan(Candidate other) {
+      return cost < CLEARLY * other.cost;
+    }
+  }
 }
--- a/core/src/main/java/dev/ibishub/core/internal/routing/TargetState.java
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/TargetState.java
@@ -10,6 +10,8 @@
 public final class TargetState {
   private static final double SMALLEST_RAMP = 0.1;
   private static final double OLDEST_REPORT_SECONDS = 5;
+  private static final double LONG_WAIT_SECONDS = 0.2;
+  private static final double LONG_WAIT_STEP = Math.log(1.5);
   private static final int MOST_DOUBLINGS = 6;
 
   private final String target;
@@ -114,7 +116,18 @@
     double busy =
         (status.running() + status.queued() + sent.count()) / (double) Math.max(1, status.limit());
     double own = tokens / tokensPerSecond();
-    return (waitSeconds(now) + own * (1 + busy)) / ramp(now);
+    return (rounded(waitSeconds(now)) + own * (1 + Math.min(1, busy))) / ramp(now);
+  }
+
+  /**
+   * Long waits that differ little count as equal. All targets are full then, the difference is
+   * older than the report that showed it, and to follow it sends the work of every entry, and so
+   * the urgent work that does not wait at all, to the same few targets.
+   */
+  private static double rounded(double wait) {
+    return wait < LONG_WAIT_SECONDS
+        ? wait
+        : Math.exp(Math.floor(Math.log(wait) / LONG_WAIT_STEP) * LONG_WAIT_STEP);
   }
 
   private double tokensPerSecond() {
