--- a/settings/src/main/java/dev/ibishub/settings/LocatedJson.java
+++ b/settings/src/main/java/dev/ibishub/settings/LocatedJson.java
@@ -12,12 +12,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Reads JSON with comments into values that know their line and column. */
 final class LocatedJson {
   private static final JsonFactory FACTORY =
       JsonFactory.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
 
+  /** The library's own words for a place, with a part about its source that says nothing. */
+  private static final Pattern PLACE = Pattern.compile("\\[Source:[^;]*; (line: [^\\]]*)\\]");
+
   private final String file;
   private final JsonParser parser;
   private final List<Fault> faults;
@@ -56,7 +60,7 @@
               at.getLineNr(),
               at.getColumnNr(),
               "",
-              "not JSON: " + e.getOriginalMessage(),
+              "not JSON: " + PLACE.matcher(e.getOriginalMessage()).replaceAll("$1"),
               "JSON with // or /* */ comments",
               Optional.empty()));
       return Optional.empty();
