--- a/standins/src/main/java/dev/ibishub/standins/Faults.java
+++ b/standins/src/main/java/dev/ibishub/standins/Faults.java
@@ -11,8 +11,7 @@
  *     their answer
  * @param cutNextStreams how many of the next generations lose their connection on the way
  * @param cutAfterPieces after how many pieces those are cut
- * @param slowRank the rank that {@code slowFactor} concerns
- * @param slowFactor by how much that rank's part of a step takes longer, 0 for no change
+ * @param slowFactor how many times longer this rank's part of a step takes, 0 for no change
  */
 public record Faults(
     boolean outage,
@@ -21,20 +20,19 @@
     int loseNextAnswers,
     int cutNextStreams,
     int cutAfterPieces,
-    int slowRank,
     double slowFactor) {
   /** A stand-in without faults. */
   public static Faults none() {
-    return new Faults(false, false, 0, 0, 0, 0, 0, 0);
+    return new Faults(false, false, 0, 0, 0, 0, 0);
   }
 
   Faults withLoseNextAnswers(int count) {
     return new Faults(
-        outage, freeze, slowMillis, count, cutNextStreams, cutAfterPieces, slowRank, slowFactor);
+        outage, freeze, slowMillis, count, cutNextStreams, cutAfterPieces, slowFactor);
   }
 
   Faults withCutNextStreams(int count) {
     return new Faults(
-        outage, freeze, slowMillis, loseNextAnswers, count, cutAfterPieces, slowRank, slowFactor);
+        outage, freeze, slowMillis, loseNextAnswers, count, cutAfterPieces, slowFactor);
   }
 }
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/RunningStandIn.java
@@ -0,0 +1,26 @@
+package dev.ibishub.standins;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * A stand-in that listens.
+ *
+ * @param servers one for each port
+ * @param onClose stops what runs behind the servers
+ */
+record RunningStandIn(List<StandInServer> servers, Runnable onClose) implements AutoCloseable {
+  RunningStandIn {
+    servers = List.copyOf(servers);
+  }
+
+  InetSocketAddress address(int rank) {
+    return servers.get(rank).address();
+  }
+
+  @Override
+  public void close() {
+    servers.forEach(StandInServer::close);
+    onClose.run();
+  }
+}
--- a/standins/src/main/java/dev/ibishub/standins/StandInMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInMain.java
@@ -40,7 +40,8 @@
         parser.printHelpOn(System.out);
         return;
       }
-      start(kind, options);
+      RunningStandIn running = start(kind, options);
+      announce(kind, running);
     } catch (OptionException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       System.err.println(USAGE);
@@ -48,12 +49,26 @@
     }
   }
 
-  /** Starts a stand-in and returns its servers, one for each port. */
-  static List<StandInServer> start(String kind, OptionSet options) throws IOException {
+  /** Starts a stand-in. */
+  static RunningStandIn start(String kind, OptionSet options) throws IOException {
     if (kind.equals("engine")) {
       return startEngine(options);
     }
-    return List.of(listen(kind, options, 0, new FaultSwitch(), handlerOf(kind, options)));
+    StandInServer server = listen(kind, options, 0, new FaultSwitch(), handlerOf(kind, options));
+    return new RunningStandIn(List.of(server), () -> {});
+  }
+
+  private static void announce(String kind, RunningStandIn running) {
+    running
+        .servers()
+        .forEach(
+            server ->
+                System.out.printf(
+                    "ready %s %s:%d%n",
+                    kind,
+                    server.address().getAddress().getHostAddress(),
+                    server.address().getPort()));
+    System.out.flush();
   }
 
   private static StandInServer.Handler handlerOf(String kind, OptionSet options) {
@@ -68,7 +83,7 @@
     };
   }
 
-  private static List<StandInServer> startEngine(OptionSet options) throws IOException {
+  private static RunningStandIn startEngine(OptionSet options) throws IOException {
     EngineOptions engine = StandInOptions.engine(options);
     List<FaultSwitch> faults =
         IntStream.range(0, engine.ranks()).mapToObj(rank -> new FaultSwitch()).toList();
@@ -79,7 +94,7 @@
       EngineStandIn face = new EngineStandIn(group, rank, engine, rankFaults);
       servers.add(listen("engine", options, rank, rankFaults, face::handle));
     }
-    return servers;
+    return new RunningStandIn(servers, group::close);
   }
 
   // Ranks listen on consecutive ports, or each on any free one.
--- a/standins/src/main/java/dev/ibishub/standins/StandInReply.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInReply.java
@@ -5,11 +5,14 @@
 import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /** A stand-in's answer: bytes, or a body written as it comes. */
 @SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
-record StandInReply(int status, byte[] body, Optional<BodyWriter> writer) {
+record StandInReply(
+    int status, Map<String, String> headers, byte[] body, Optional<BodyWriter> writer) {
   /** Writes a body as it comes. */
   @FunctionalInterface
   interface BodyWriter {
@@ -17,15 +20,22 @@
   }
 
   static StandInReply json(Object value) {
-    return new StandInReply(200, PlatformJson.write(value), Optional.empty());
+    return new StandInReply(200, Map.of(), PlatformJson.write(value), Optional.empty());
   }
 
   static StandInReply empty() {
-    return new StandInReply(204, new byte[0], Optional.empty());
+    return new StandInReply(204, Map.of(), new byte[0], Optional.empty());
   }
 
   static StandInReply streamed(BodyWriter writer) {
-    return new StandInReply(200, new byte[0], Optional.of(writer));
+    return new StandInReply(200, Map.of(), new byte[0], Optional.of(writer));
+  }
+
+  /** The same answer with one more header. */
+  StandInReply withHeader(String name, String value) {
+    Map<String, String> more = new HashMap<>(headers);
+    more.put(name, value);
+    return new StandInReply(status, Map.copyOf(more), body, writer);
   }
 
   static StandInReply refusal(ResultCode code, String detail) {
@@ -35,6 +45,7 @@
   static StandInReply refusal(ResultCode code, String detail, long retryAfterMillis) {
     return new StandInReply(
         code.httpStatus(),
+        Map.of(),
         PlatformJson.write(new PlatformError(code.name(), detail, retryAfterMillis)),
         Optional.empty());
   }
--- a/standins/src/main/java/dev/ibishub/standins/StandInServer.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInServer.java
@@ -137,6 +137,7 @@
 
   private static void answer(HttpExchange exchange, StandInReply reply)
       throws IOException, InterruptedException {
+    reply.headers().forEach(exchange.getResponseHeaders()::set);
     if (reply.writer().isPresent()) {
       exchange.getResponseHeaders().set("Content-Type", "application/x-ndjson");
       exchange.sendResponseHeaders(reply.status(), 0);
