--- a/core/src/main/java/dev/ibishub/core/AttemptTable.java
+++ b/core/src/main/java/dev/ibishub/core/AttemptTable.java
@@ -12,7 +12,7 @@
  * <p>A dispatch may be delayed past its own revocation: the caller would be told "not run" while
  * the late dispatch runs. A revocation therefore leaves a tombstone, also for an attempt never
  * seen. A tombstone, and an attempt that is over, is kept until the clock has passed the attempt's
- * deadline by the bound on clock skew. From then on a late dispatch is refused by its deadline
+ * deadline by the bound on clock skew. From then on a late dispatch is ignored for its deadline
  * alone, also when the clock is set back by no more than that bound. A revocation names no
  * deadline, so its tombstone lasts as long as the longest deadline that {@link #offer} takes.
  *
--- a/core/src/main/java/dev/ibishub/core/internal/requests/AttemptShard.java
+++ b/core/src/main/java/dev/ibishub/core/internal/requests/AttemptShard.java
@@ -50,6 +50,10 @@
     if (known != null) {
       return known.state() == State.REVOKED ? OfferResult.REVOKED : OfferResult.DUPLICATE;
     }
+    if (!now.isBefore(keptUntil)) {
+      // It may have run here and been forgotten, so "refused, not run" could be a lie.
+      return OfferResult.DUPLICATE;
+    }
     if (!now.isBefore(deadline) || attempts.size() >= capacity) {
       return OfferResult.REVOKED;
     }
