Gate each target by an agent: queue, start or hand back, relay, drain

One small process beside each target takes attempts from every entry, lets them wait in one fair queue, starts each once or says surely that it never will, and keeps the answer for relay and for callers that come back. A cancel is heard only from the entry that reads the answer: an entry whose caller went away cancels late, when that caller may read on through another. A call that may not be repeated is claimed on the log before its start.

--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -0,0 +1,270 @@
+package dev.ibishub.agent;
+
+import com.google.common.flogger.FluentLogger;
+import com.sun.net.httpserver.HttpServer;
+import dev.ibishub.core.AttemptTable;
+import dev.ibishub.core.AttemptTableOptions;
+import dev.ibishub.core.ConcurrencyLimit;
+import dev.ibishub.core.ConcurrencyLimitOptions;
+import dev.ibishub.core.ProcessIncarnation;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.StreamBuffers;
+import dev.ibishub.platform.HttpAppendOnlyLog;
+import dev.ibishub.platform.HttpModelEngine;
+import dev.ibishub.platform.HttpPlainService;
+import dev.ibishub.platform.HttpVirtualMachineList;
+import dev.ibishub.platform.ModelEngine;
+import dev.ibishub.platform.PlatformHttp;
+import dev.ibishub.platform.VirtualMachineList;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MetricsPage;
+import dev.ibishub.settings.AgentSettings;
+import dev.ibishub.settings.AgentSettings.Kind;
+import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.TlsContexts;
+import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.GroupCommand;
+import dev.ibishub.wire.generated.GroupReply;
+import dev.ibishub.wire.generated.OrderReply;
+import dev.ibishub.wire.generated.OrderRequest;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** One agent process: puts the parts together, starts and stops them. */
+public final class Agent {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long REPORT_MILLIS = 100;
+  private static final long TICK_MILLIS = 20;
+  private static final long STATE_MILLIS = 500;
+  private static final long LIST_MILLIS = 2_000;
+  private static final int KEPT_ANSWERS = 4_096;
+  private static final Duration ORPHAN_PATIENCE = Duration.ofSeconds(15);
+  private static final Duration KEEP_FOR = Duration.ofSeconds(60);
+
+  private final AgentSettings settings;
+  private final InstantSource clock = InstantSource.system();
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+  private final ExecutorService httpThreads = Executors.newCachedThreadPool();
+  private final AgentMetrics metrics = new AgentMetrics();
+  private final Identity identity;
+  private final WireTransport transport;
+  private final VirtualMachineList list;
+  private final Optional<ClaimWriter> claims;
+  private final AttemptRunner runner;
+  private final AgentLinks links;
+  private final TargetReporter reporter;
+
+  private Agent(AgentSettings settings, Optional<TlsContexts> tls) {
+    this.settings = settings;
+    // Wall-clock milliseconds grow from one start of a VM's process to the next.
+    long incarnation = clock.millis();
+    this.identity = new Identity(settings.targetId(), "agent", settings.zone(), incarnation);
+    this.transport = WireTransport.create(identity, tls);
+    HttpClient client = PlatformHttp.newClient(httpThreads);
+    this.list = HttpVirtualMachineList.create(URI.create(settings.virtualMachineListUrl()), client);
+    Optional<ModelEngine> engine =
+        settings.engineUrl().map(url -> HttpModelEngine.create(URI.create(url), client));
+    this.claims =
+        settings.kind() == Kind.SERVICE ? Optional.of(claimWriter(client)) : Optional.empty();
+    StreamBuffers buffers = StreamBuffers.create(bufferBytes(settings), KEPT_ANSWERS);
+    Backend backend =
+        engine
+            .<Backend>map(present -> new ModelBackend(present, buffers, clock))
+            .orElseGet(() -> serviceBackend(client, buffers));
+    this.runner =
+        new AttemptRunner(
+            new AttemptRunner.RunnerOptions(settings.maximumQueued(), ORPHAN_PATIENCE, KEEP_FOR),
+            buffers,
+            AttemptTable.create(AttemptTableOptions.defaults()),
+            ConcurrencyLimit.create(limits(settings)),
+            backend,
+            clock,
+            metrics);
+    this.reporter = new TargetReporter(settings, runner, engine, () -> 0, clock);
+    this.links =
+        new AgentLinks(
+            runner, this::handleOrder, Agent::refuseGroup, link -> link.offer(reporter.report()));
+  }
+
+  /**
+   * Starts an agent.
+   *
+   * @param settings checked settings
+   * @return the running agent; fails with {@code TARGET_UNREACHABLE} when a port cannot be had
+   * @throws IOException if a key file cannot be read or the metrics port cannot be had
+   */
+  public static Agent start(AgentSettings settings) throws IOException {
+    Agent agent = new Agent(settings, tls(settings));
+    agent.open();
+    return agent;
+  }
+
+  /** Stops taking work, lets what has started end, and returns when all is told. */
+  public void drain() {
+    Instant deadline = clock.instant().plusSeconds(settings.drainSeconds());
+    beginLeaving("stop");
+    while (!runner.isIdle() && clock.instant().isBefore(deadline)) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
+    }
+    logger.atInfo().log("%s", LogEvent.of("agent.drained").with("complete", runner.isIdle()));
+    close();
+  }
+
+  private void close() {
+    timers.shutdownNow();
+    claims.ifPresent(ClaimWriter::close);
+    transport.close();
+    httpThreads.shutdown();
+  }
+
+  private void open() throws IOException {
+    int port = transport.listen(settings.host(), settings.port(), links).join();
+    HttpServer pages =
+        HttpServer.create(new InetSocketAddress(settings.host(), settings.metricsPort()), 0);
+    MetricsPage.addTo(pages, metrics.registry(), this::isReady);
+    pages.start();
+    metrics.gauge("ibishub_agent_queued", "Attempts that wait.", runner::queued);
+    metrics.gauge("ibishub_agent_running", "Attempts that run.", runner::running);
+    metrics.gauge("ibishub_agent_limit", "Attempts that may run at once.", runner::limit);
+    every(TICK_MILLIS, runner::tick);
+    every(REPORT_MILLIS, () -> links.sendToAll(reporter.report()));
+    every(REPORT_MILLIS, reporter::refreshLoad);
+    every(STATE_MILLIS, reporter::refreshState);
+    every(STATE_MILLIS, () -> reporter.refreshCache(links::sendToAll));
+    every(LIST_MILLIS, this::readList);
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("agent.started")
+            .with("port", port)
+            .with("metricsPort", pages.getAddress().getPort())
+            .with("incarnation", identity.incarnation()));
+  }
+
+  private boolean isReady() {
+    return !runner.isLeaving()
+        && reporter.isReachable()
+        && claims.map(ClaimWriter::isReady).orElse(true);
+  }
+
+  private void beginLeaving(String toldBy) {
+    if (!runner.isLeaving()) {
+      logger.atInfo().log("%s", LogEvent.of("agent.leaving").with("toldBy", toldBy));
+    }
+    runner.beginLeaving();
+    links.sendToAll(reporter.report());
+  }
+
+  private void readList() {
+    list.read()
+        .thenAccept(
+            machines ->
+                machines.stream()
+                    .filter(machine -> machine.id().equals(settings.targetId()))
+                    .filter(machine -> machine.leaving() && !runner.isLeaving())
+                    .forEach(machine -> beginLeaving("virtual-machine-list")));
+  }
+
+  private CompletableFuture<OrderReply> handleOrder(OrderRequest order) {
+    switch (order.getKind()) {
+      case "drain" -> beginLeaving(order.getOrderedBy());
+      case "undrain" -> {
+        runner.endLeaving();
+        links.sendToAll(reporter.report());
+      }
+      default -> {
+        return CompletableFuture.completedFuture(
+            reply(order, ResultCode.MALFORMED_REQUEST, "unknown kind " + order.getKind()));
+      }
+    }
+    return CompletableFuture.completedFuture(reply(order, ResultCode.OK, ""));
+  }
+
+  private static OrderReply reply(OrderRequest order, ResultCode code, String detail) {
+    return OrderReply.newBuilder()
+        .setOrderId(order.getOrderId())
+        .setResultCode(code.number())
+        .setDetail(detail)
+        .build();
+  }
+
+  private static CompletableFuture<GroupReply> refuseGroup(GroupCommand command) {
+    return CompletableFuture.completedFuture(
+        GroupReply.newBuilder()
+            .setGroup(command.getGroup())
+            .setSequence(command.getSequence())
+            .setResultCode(ResultCode.NOT_READY.number())
+            .build());
+  }
+
+  private ClaimWriter claimWriter(HttpClient client) {
+    return ClaimWriter.start(
+        HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client),
+        new ProcessIncarnation(settings.targetId(), identity.incarnation()),
+        ClaimWriterOptions.defaults(),
+        clock,
+        Timer.on(timers, clock));
+  }
+
+  private Backend serviceBackend(HttpClient client, StreamBuffers buffers) {
+    return new ServiceBackend(
+        HttpPlainService.create(URI.create(settings.serviceUrl().orElseThrow()), client),
+        claims.orElseThrow(),
+        buffers,
+        clock);
+  }
+
+  private void every(long millis, Runnable task) {
+    Runnable guarded =
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            // A timer whose task throws is never run again, without a word.
+            logger.atSevere().withCause(e).log("%s", LogEvent.of("timer.failed"));
+          }
+        };
+    var unused = timers.scheduleWithFixedDelay(guarded, 0, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static long bufferBytes(AgentSettings settings) {
+    return settings.kind() == Kind.SERVICE
+        ? settings.keptAnswerBytes()
+        : (long) settings.streamBufferBytes() * settings.maximumConcurrency();
+  }
+
+  private static ConcurrencyLimitOptions limits(AgentSettings settings) {
+    ConcurrencyLimitOptions defaults = ConcurrencyLimitOptions.defaults();
+    int maximum = settings.maximumConcurrency();
+    return new ConcurrencyLimitOptions(
+        Math.min(defaults.minimum(), maximum),
+        Math.min(defaults.initial(), maximum),
+        maximum,
+        defaults.targetSecondsPerToken(),
+        defaults.tolerance());
+  }
+
+  private static Optional<TlsContexts> tls(AgentSettings settings) throws IOException {
+    if (settings.tls().isEmpty()) {
+      return Optional.empty();
+    }
+    var files = settings.tls().get();
+    return Optional.of(
+        TlsContexts.read(
+            Path.of(files.certificateFile()),
+            Path.of(files.keyFile()),
+            Path.of(files.trustFile())));
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/AgentMain.java
@@ -0,0 +1,43 @@
+package dev.ibishub.agent;
+
+import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.runtime.StopSignals;
+import dev.ibishub.settings.AgentSettings;
+import dev.ibishub.settings.LogFormat;
+import dev.ibishub.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Command line of {@code ibishub-agent}. */
+public final class AgentMain {
+  private AgentMain() {}
+
+  /**
+   * Runs the agent until it is told to stop.
+   *
+   * @param arguments see {@code ibishub-agent --help}
+   */
+  public static void main(String[] arguments) throws IOException {
+    Path file = CommandLine.settingsFile("ibishub-agent", "The gate of one target.", arguments);
+    AgentSettings settings = readOrExit(file);
+    LogSetup.configure(
+        settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.targetId());
+    Agent agent = Agent.start(settings);
+    StopSignals.onStop(
+        () -> {
+          agent.drain();
+          System.exit(0);
+        });
+  }
+
+  private static AgentSettings readOrExit(Path file) {
+    try {
+      return AgentSettings.read(file);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      System.exit(CommandLine.USAGE);
+      throw e;
+    }
+  }
+}
--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
@@ -0,0 +1,361 @@
+package dev.ibishub.agent;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.AnswerEnd;
+import dev.ibishub.core.AttemptTable;
+import dev.ibishub.core.ConcurrencyLimit;
+import dev.ibishub.core.FairQueue;
+import dev.ibishub.core.QueuedWork;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
+import dev.ibishub.core.StreamBuffers;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.wire.AnswerEnds;
+import dev.ibishub.wire.Link;
+import dev.ibishub.wire.generated.Attach;
+import dev.ibishub.wire.generated.Cancel;
+import dev.ibishub.wire.generated.Credit;
+import dev.ibishub.wire.generated.Dispatch;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.Revoke;
+import dev.ibishub.wire.generated.RevokeReply;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The gate of one target: every attempt waits here, and starts, or is handed back as not run.
+ * Thread-safe; no method blocks.
+ */
+final class AttemptRunner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final AttemptTable table;
+  private final StreamBuffers buffers;
+  private final FairQueue<Attempt> queue = FairQueue.create();
+  private final ConcurrencyLimit limit;
+  private final Backend backend;
+  private final InstantSource clock;
+  private final AgentMetrics metrics;
+  private final RunnerOptions options;
+  private final Map<String, Attempt> attempts = new ConcurrentHashMap<>();
+  private volatile boolean leaving;
+
+  /**
+   * Bounds of a runner.
+   *
+   * @param maximumQueued the most attempts that wait
+   * @param orphanPatience how long a started attempt whose entry is gone goes on, for its caller to
+   *     come back through another entry
+   * @param keepFor how long the answer of a finished attempt can be joined
+   */
+  record RunnerOptions(int maximumQueued, Duration orphanPatience, Duration keepFor) {}
+
+  AttemptRunner(
+      RunnerOptions options,
+      StreamBuffers buffers,
+      AttemptTable table,
+      ConcurrencyLimit limit,
+      Backend backend,
+      InstantSource clock,
+      AgentMetrics metrics) {
+    this.options = options;
+    this.buffers = buffers;
+    this.table = table;
+    this.limit = limit;
+    this.backend = backend;
+    this.clock = clock;
+    this.metrics = metrics;
+  }
+
+  /** Takes an attempt in, or refuses it as not run. */
+  void dispatch(Link link, Dispatch dispatch) {
+    Instant now = clock.instant();
+    String id = dispatch.getAttemptId();
+    Instant deadline = Instant.ofEpochMilli(dispatch.getDeadlineMillis());
+    if (leaving) {
+      refuse(link, id, now, ResultCode.TARGET_LEAVING, "the target takes no new work");
+      return;
+    }
+    if (queue.size() >= options.maximumQueued()) {
+      refuse(link, id, now, ResultCode.OVERLOADED, "the target's queue is full");
+      return;
+    }
+    switch (table.offer(id, deadline, now)) {
+      case QUEUED -> enqueue(link, dispatch, deadline, now);
+      case REVOKED -> answer(link, id, ResultCode.REVOKED, "the attempt was withdrawn before");
+      case DUPLICATE -> logger.atFine().log("%s", LogEvent.of("attempt.duplicate").with("id", id));
+      default -> throw new AssertionError();
+    }
+  }
+
+  /** Withdraws an attempt that has not started, and says whether that was so. */
+  void revoke(Link link, Revoke revoke) {
+    boolean revoked = revokeQueued(revoke.getAttemptId());
+    link.offer(
+        Frame.newBuilder()
+            .setRevokeReply(
+                RevokeReply.newBuilder().setAttemptId(revoke.getAttemptId()).setRevoked(revoked))
+            .build());
+  }
+
+  /**
+   * Stops an attempt whose answer is no longer wanted. An entry whose caller went away cancels
+   * late, when that caller may long read on through another entry: only the present reader is
+   * heard.
+   */
+  void cancel(Link link, Cancel cancel) {
+    Optional.ofNullable(attempts.get(cancel.getAttemptId()))
+        .filter(attempt -> mayCancel(link, cancel, attempt))
+        .filter(attempt -> !revokeQueued(attempt.id()))
+        .ifPresent(this::cancelStarted);
+  }
+
+  private static boolean mayCancel(Link link, Cancel cancel, Attempt attempt) {
+    return cancel.getCallerWorkspace().isEmpty()
+        ? attempt.mayBeCancelledBy(link)
+        : cancel.getCallerWorkspace().equals(attempt.dispatch().getWorkspace());
+  }
+
+  /** Lets an entry join an answer, from a chunk on. */
+  void attach(Link link, Attach attach) {
+    Attempt attempt = attempts.get(attach.getAttemptId());
+    boolean known =
+        attempt != null && attempt.dispatch().getWorkspace().equals(attach.getWorkspace());
+    if (!known) {
+      answer(
+          link,
+          attach.getAttemptId(),
+          ResultCode.STREAM_POSITION_LOST,
+          "the answer is not kept here");
+      return;
+    }
+    attempt.relayTo(
+        new AnswerRelay(link, attempt.buffer(), attach.getFromChunk(), attach.getCredit()));
+  }
+
+  void credit(Credit credit) {
+    Optional.ofNullable(attempts.get(credit.getAttemptId()))
+        .ifPresent(attempt -> attempt.credit(credit.getChunks()));
+  }
+
+  /** Withdraws what waits for an entry that is gone; what has started waits for its caller. */
+  void linkClosed(Link link) {
+    Instant now = clock.instant();
+    attempts.values().stream()
+        .filter(attempt -> attempt.orphanedBy(link, now))
+        .forEach(attempt -> revokeQueued(attempt.id()));
+  }
+
+  /** From now on refuses new work, and hands back what waits as not run. */
+  void beginLeaving() {
+    leaving = true;
+    attempts.keySet().stream()
+        .filter(id -> table.revoke(id, clock.instant()))
+        .forEach(id -> handBack(id, ResultCode.TARGET_LEAVING, "the target is leaving"));
+  }
+
+  /** Takes work again after a drain that was taken back. */
+  void endLeaving() {
+    leaving = false;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Whether nothing waits, runs or is still being sent. */
+  boolean isIdle() {
+    return attempts.values().stream().allMatch(Attempt::isRelayed);
+  }
+
+  int queued() {
+    return queue.size();
+  }
+
+  double queuedTokens() {
+    return queue.queuedTokens();
+  }
+
+  int running() {
+    return limit.running();
+  }
+
+  int limit() {
+    return limit.limit();
+  }
+
+  /** Gives up what is past its deadline or orphaned for too long, and forgets what is over. */
+  void tick() {
+    Instant now = clock.instant();
+    queue.removeExpired(now).forEach(work -> expire(work.item(), now));
+    attempts.values().stream()
+        .filter(attempt -> !attempt.done().isDone())
+        .filter(attempt -> isUnwanted(attempt, now))
+        .forEach(attempt -> giveUp(attempt, now));
+    attempts
+        .values()
+        .removeIf(
+            attempt ->
+                attempt.done().isDone()
+                    && attempt.deadline().plus(options.keepFor()).isBefore(now));
+    table.expire(now);
+    startNext();
+  }
+
+  private void enqueue(Link link, Dispatch dispatch, Instant deadline, Instant now) {
+    var buffer = buffers.open(dispatch.getAttemptId());
+    AnswerRelay relay = new AnswerRelay(link, buffer, 0, dispatch.getCredit());
+    Attempt attempt = new Attempt(dispatch, buffer, relay);
+    attempts.put(attempt.id(), attempt);
+    boolean queued =
+        queue.offer(
+            new QueuedWork<>(
+                attempt.id(),
+                dispatch.getWorkspace(),
+                dispatch.getWeight(),
+                dispatch.getPriority(),
+                dispatch.getEstimatedTokens(),
+                deadline,
+                attempt));
+    if (!queued) {
+      table.revoke(attempt.id(), now);
+      handBack(attempt.id(), ResultCode.REVOKED, "the attempt waits already");
+      return;
+    }
+    metrics.dispatched();
+    startNext();
+  }
+
+  private void startNext() {
+    while (queue.size() > 0 && limit.tryAcquire()) {
+      Instant now = clock.instant();
+      Optional<QueuedWork<Attempt>> next = queue.poll(now);
+      boolean started = next.isPresent() && table.tryStart(next.get().id(), now);
+      if (!started) {
+        limit.release(new ConcurrencyLimit.Sample(now, now, 0, false));
+        next.ifPresent(work -> expire(work.item(), now));
+        continue;
+      }
+      run(next.get(), now);
+    }
+  }
+
+  private void run(QueuedWork<Attempt> work, Instant startedAt) {
+    Attempt attempt = work.item();
+    attempt.sendStarted();
+    backend
+        .run(attempt)
+        .exceptionally(AttemptRunner::failure)
+        .thenAccept(end -> finish(work, startedAt, end));
+  }
+
+  private void finish(QueuedWork<Attempt> work, Instant startedAt, AnswerEnd end) {
+    Instant now = clock.instant();
+    Attempt attempt = work.item();
+    AnswerEnd told =
+        attempt.isCancelled() && end.code() != ResultCode.OK
+            ? AnswerEnd.failure(new ResultException(ResultCode.CANCELLED, "cancelled"))
+            : end;
+    attempt.end(told);
+    table.finished(attempt.id(), now);
+    queue.completed(work.workspace(), work.estimatedTokens(), (double) end.usedTokens());
+    boolean failed = end.code() != ResultCode.OK && !attempt.isCancelled();
+    limit.release(new ConcurrencyLimit.Sample(startedAt, now, end.usedTokens(), failed));
+    metrics.finished(told.code(), startedAt, now);
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("attempt.finished")
+            .request(attempt.dispatch().getRequestId())
+            .with("attempt", attempt.id())
+            .with("workspace", work.workspace())
+            .with("tokens", end.usedTokens())
+            .code(told.code()));
+    startNext();
+  }
+
+  private boolean isUnwanted(Attempt attempt, Instant now) {
+    boolean late = !now.isBefore(attempt.deadline());
+    boolean orphaned =
+        attempt
+            .orphanedAt()
+            .map(since -> since.plus(options.orphanPatience()).isBefore(now))
+            .orElse(false);
+    return (late || orphaned) && !attempt.isCancelled();
+  }
+
+  private void giveUp(Attempt attempt, Instant now) {
+    boolean late = !now.isBefore(attempt.deadline());
+    if (revokeQueued(attempt.id())) {
+      return;
+    }
+    cancelStarted(attempt);
+    if (late) {
+      // The answer's reader is told at once; the engine's own end, whenever it comes, is ignored.
+      attempt.end(
+          AnswerEnd.failure(
+              new ResultException(ResultCode.DEADLINE_PASSED_RUNNING, "the deadline has passed")));
+    }
+  }
+
+  private void expire(Attempt attempt, Instant now) {
+    table.revoke(attempt.id(), now);
+    handBack(
+        attempt.id(), ResultCode.DEADLINE_PASSED_QUEUED, "the deadline passed before the start");
+  }
+
+  private boolean revokeQueued(String attemptId) {
+    boolean revoked = table.revoke(attemptId, clock.instant());
+    if (revoked) {
+      handBack(attemptId, ResultCode.REVOKED, "withdrawn before the start");
+    }
+    return revoked;
+  }
+
+  /** Ends an attempt that the table says never starts. */
+  private void handBack(String attemptId, ResultCode code, String detail) {
+    queue.remove(attemptId);
+    Optional.ofNullable(attempts.get(attemptId))
+        .filter(attempt -> !attempt.done().isDone())
+        .ifPresent(
+            attempt -> {
+              attempt.end(AnswerEnd.failure(new ResultException(code, detail)));
+              metrics.handedBack(code);
+            });
+  }
+
+  private void cancelStarted(Attempt attempt) {
+    if (!attempt.done().isDone()) {
+      attempt.cancel();
+      backend.cancel(attempt);
+    }
+  }
+
+  /** Refuses an attempt and sees to it that a late duplicate of it is refused too. */
+  private void refuse(Link link, String attemptId, Instant now, ResultCode code, String detail) {
+    if (!table.revoke(attemptId, now)) {
+      // The same attempt was taken before and has started: its own end is the answer.
+      return;
+    }
+    metrics.handedBack(code);
+    answer(link, attemptId, code, detail);
+  }
+
+  private void answer(Link link, String attemptId, ResultCode code, String detail) {
+    AnswerEnd end = AnswerEnd.failure(new ResultException(code, detail));
+    link.offer(Frame.newBuilder().setEnd(AnswerEnds.toWire(attemptId, end)).build());
+  }
+
+  private static AnswerEnd failure(Throwable thrown) {
+    Throwable cause = thrown instanceof CompletionException ? thrown.getCause() : thrown;
+    if (cause instanceof ResultException failure) {
+      return AnswerEnd.failure(failure);
+    }
+    logger.atSevere().withCause(cause).log("%s", LogEvent.of("attempt.failed"));
+    return AnswerEnd.failure(new ResultException(ResultCode.INTERNAL, "internal error"));
+  }
+}
