Learn an entry's address for callers although the link came first

Change: a record of equal rank completes what is missing; nobody is named without an address. Before: both tests of AddressBookTest fail. After: core's 110 tests pass.

--- a/core/src/main/java/dev/ibishub/core/AddressBook.java
+++ b/core/src/main/java/dev/ibishub/core/AddressBook.java
@@ -63,7 +63,9 @@
             ? Stream.of(new Candidate(self, Seconds.after(now, validSeconds)))
             : Stream.empty();
     Stream<Candidate> others =
-        membership.liveEntries().stream().flatMap(record -> candidate(record, now).stream());
+        membership.liveEntries().stream()
+            .filter(record -> !record.callerUrl().isEmpty())
+            .flatMap(record -> candidate(record, now).stream());
     return Stream.concat(own, others)
         .sorted(
             Comparator.comparing((Candidate entry) -> !entry.record().zone().equals(self.zone()))
--- a/core/src/main/java/dev/ibishub/core/MemberRecord.java
+++ b/core/src/main/java/dev/ibishub/core/MemberRecord.java
@@ -65,4 +65,14 @@
     return new MemberRecord(
         id, role, zone, host, port, callerUrl, incarnation, refutation, state, newLoad);
   }
+
+  /**
+   * The same process with the load of another record of it, and with that one's address for callers
+   * where this one, made from the platform's list, has none.
+   */
+  public MemberRecord completedBy(MemberRecord other) {
+    String url = callerUrl.isEmpty() ? other.callerUrl : callerUrl;
+    return new MemberRecord(
+        id, role, zone, host, port, url, incarnation, refutation, state, other.load);
+  }
 }
--- a/core/src/main/java/dev/ibishub/core/Membership.java
+++ b/core/src/main/java/dev/ibishub/core/Membership.java
@@ -271,7 +271,7 @@
     } else if (record.supersedes(known.record())) {
       members.put(record.id(), known.with(record, now));
     } else if (record.state() == known.record().state()) {
-      members.put(record.id(), known.with(known.record().withLoad(record.load()), now));
+      members.put(record.id(), known.with(known.record().completedBy(record), now));
     }
   }
 
