Face callers and operators by an entry, and show the whole path with bin/demo

The entry authenticates, admits, routes, makes attempts until one answers or nothing more may be tried, streams with numbered events, lets a broken stream be joined at any entry, and has the operator API. bin/demo builds, starts 9 stand-ins, 6 agents and 3 entries, publishes a base and an overlay, sends examples/, kills an agent and an entry under load.

--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/CallerPages.java
@@ -0,0 +1,337 @@
+package dev.ibishub.entry;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import com.sun.net.httpserver.HttpExchange;
+import dev.ibishub.core.AddressBook;
+import dev.ibishub.core.Admission;
+import dev.ibishub.core.AdmissionDecision;
+import dev.ibishub.core.AdmissionQuery;
+import dev.ibishub.core.Configuration;
+import dev.ibishub.core.Configuration.Service;
+import dev.ibishub.core.Configuration.Workspace;
+import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.Membership;
+import dev.ibishub.core.Repeatability;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
+import dev.ibishub.core.WorkspaceLimits;
+import dev.ibishub.settings.EntrySettings;
+import dev.ibishub.wire.AnswerEnds;
+import dev.ibishub.wire.generated.Cancel;
+import dev.ibishub.wire.generated.Dispatch;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.ServiceCall;
+import java.io.IOException;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** The pages for callers. Thread-safe. */
+final class CallerPages {
+  private static final Pattern SERVICE_PATH = Pattern.compile("/services/([^/]+)(/.*)?");
+  private static final String STREAM_PATH = "/v1/streams/";
+  private static final Set<String> KEPT_BY_ENTRY =
+      Set.of(
+          "authorization",
+          "connection",
+          "content-length",
+          "expect",
+          "host",
+          "keep-alive",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  private final EntrySettings settings;
+  private final RequestContext context;
+  private final CallerServer server;
+  private final Workspaces workspaces;
+  private final Supplier<Configuration> configuration;
+  private final Admission admission;
+  private final AddressBook addresses;
+  private final Membership membership;
+  private final BooleanSupplier serving;
+  private final EntryMetrics metrics;
+
+  CallerPages(
+      EntrySettings settings,
+      RequestContext context,
+      CallerServer server,
+      Workspaces workspaces,
+      Supplier<Configuration> configuration,
+      Admission admission,
+      AddressBook addresses,
+      Membership membership,
+      BooleanSupplier serving,
+      EntryMetrics metrics) {
+    this.settings = settings;
+    this.context = context;
+    this.server = server;
+    this.workspaces = workspaces;
+    this.configuration = configuration;
+    this.admission = admission;
+    this.addresses = addresses;
+    this.membership = membership;
+    this.serving = serving;
+    this.metrics = metrics;
+  }
+
+  void addTo(CallerServer pages) {
+    pages.add("/v1/addresses", this::addresses);
+    pages.add("/v1/completions", (exchange, id) -> complete(exchange, id, false));
+    pages.add("/v1/chat/completions", (exchange, id) -> complete(exchange, id, true));
+    pages.add(STREAM_PATH, this::stream);
+    pages.add("/services/", this::callService);
+  }
+
+  private void addresses(HttpExchange exchange, String requestId) throws IOException {
+    requireMethod(exchange, "GET");
+    ObjectNode answer = JsonNodeFactory.instance.objectNode();
+    ArrayNode list = answer.putArray("addresses");
+    addresses
+        .addresses(context.clock().instant())
+        .forEach(
+            address ->
+                list.addObject()
+                    .put("url", address.url())
+                    .put("zone", address.zone())
+                    .put("validUntil", address.validUntil().toString()));
+    Http.sendJson(exchange, 200, answer);
+  }
+
+  private void complete(HttpExchange exchange, String requestId, boolean chat) throws IOException {
+    requireMethod(exchange, "POST");
+    requireServing();
+    var origin = origin(exchange, requestId);
+    byte[] body = Http.body(exchange, settings.maximumBodyBytes());
+    var read = ModelRequests.read(body, chat, origin, configuration.get());
+    ModelAnswer form = new ModelAnswer(requestId, read.model(), chat);
+    Answer answer =
+        read.streamed()
+            ? new StreamedAnswer(exchange, requestId, form, 0, context.clock())
+            : new WholeAnswer(exchange, requestId, form, context.clock());
+    runner(exchange, origin.workspace(), read.request(), answer).start();
+  }
+
+  private void callService(HttpExchange exchange, String requestId) throws IOException {
+    requireServing();
+    var origin = origin(exchange, requestId);
+    Matcher path = SERVICE_PATH.matcher(exchange.getRequestURI().getRawPath());
+    Service service = path.matches() ? configuration.get().services().get(path.group(1)) : null;
+    if (service == null) {
+      throw new ResultException(ResultCode.NOT_FOUND, "no such service at this site");
+    }
+    byte[] body = Http.body(exchange, settings.maximumBodyBytes());
+    String rest = path.group(2) == null ? "/" : path.group(2);
+    boolean mayBeRepeated = service.mayBeRepeated(exchange.getRequestMethod(), rest);
+    String key = Optional.ofNullable(header(exchange, "Idempotency-Key")).orElse("");
+    if (!mayBeRepeated && key.isEmpty()) {
+      throw new ResultException(
+          ResultCode.IDEMPOTENCY_KEY_REQUIRED,
+          "this call runs at most once and needs the header Idempotency-Key");
+    }
+    String query = exchange.getRequestURI().getRawQuery();
+    ServiceCall call =
+        ServiceCall.newBuilder()
+            .setService(service.name())
+            .setMethod(exchange.getRequestMethod())
+            .setPathAndQuery(query == null ? rest : rest + "?" + query)
+            .addAllHeaders(AnswerEnds.headersToWire(endToEndHeaders(exchange)))
+            .setBody(ByteString.copyFrom(body))
+            .setIdempotencyKey(mayBeRepeated ? "" : key)
+            .setMayBeRepeated(mayBeRepeated)
+            .build();
+    Dispatch dispatch = ModelRequests.dispatch(origin, 1).setServiceCall(call).build();
+    CallerRequest request =
+        new CallerRequest(
+            requestId,
+            origin.workspace().name(),
+            "service:" + service.name(),
+            0,
+            1,
+            origin.deadline(),
+            mayBeRepeated ? Repeatability.MAY_BE_REPEATED : Repeatability.ONCE_BY_CLAIM,
+            true,
+            dispatch);
+    Answer answer = new ServiceAnswerWriter(exchange, requestId, context.clock());
+    runner(exchange, origin.workspace(), request, answer).start();
+  }
+
+  /** Joins ({@code GET}) or cancels ({@code DELETE}) a streamed answer. */
+  private void stream(HttpExchange exchange, String requestId) throws IOException {
+    var origin = origin(exchange, requestId);
+    String name = exchange.getRequestURI().getPath().substring(STREAM_PATH.length());
+    StreamName stream = StreamName.decode(name);
+    MemberRecord agent =
+        membership
+            .member(stream.target())
+            .orElseThrow(
+                () ->
+                    new ResultException(
+                        ResultCode.STREAM_POSITION_LOST, "the target of this answer is gone"));
+    switch (exchange.getRequestMethod()) {
+      case "GET" -> join(exchange, origin, stream, agent);
+      case "DELETE" -> cancel(exchange, origin, stream, agent);
+      default -> requireMethod(exchange, "GET or DELETE");
+    }
+  }
+
+  private void join(
+      HttpExchange exchange, ModelRequests.Origin origin, StreamName stream, MemberRecord agent) {
+    long from = firstWanted(exchange);
+    ModelAnswer form = new ModelAnswer(origin.requestId(), stream.model(), stream.chat());
+    Answer answer = new StreamedAnswer(exchange, origin.requestId(), form, from, context.clock());
+    CallerRequest request =
+        new CallerRequest(
+            origin.requestId(),
+            origin.workspace().name(),
+            stream.model(),
+            0,
+            0,
+            origin.deadline(),
+            Repeatability.ONCE,
+            false,
+            Dispatch.getDefaultInstance());
+    Runnable giveBack = server.takePlace(exchange);
+    RequestRunner runner =
+        new RequestRunner(context, request, answer, (code, tokens) -> giveBack.run());
+    context
+        .links()
+        .linkTo(agent)
+        .whenComplete(
+            (link, failure) -> {
+              if (failure == null) {
+                runner.join(link, stream);
+              } else {
+                runner.cannotJoin();
+              }
+            });
+  }
+
+  private void cancel(
+      HttpExchange exchange, ModelRequests.Origin origin, StreamName stream, MemberRecord agent)
+      throws IOException {
+    Frame cancel =
+        Frame.newBuilder()
+            .setCancel(
+                Cancel.newBuilder()
+                    .setAttemptId(stream.attemptId())
+                    .setCallerWorkspace(origin.workspace().name()))
+            .build();
+    context.links().linkTo(agent).thenAccept(link -> link.offer(cancel));
+    Http.sendJson(
+        exchange,
+        ResultCode.ACCEPTED.httpStatus(),
+        JsonNodeFactory.instance.objectNode().put("requestId", origin.requestId()));
+  }
+
+  private RequestRunner runner(
+      HttpExchange exchange, Workspace workspace, CallerRequest request, Answer answer) {
+    Runnable giveBack = server.takePlace(exchange);
+    Instant now = context.clock().instant();
+    AdmissionDecision decision = admission.admit(query(workspace, request, now), now);
+    if (!decision.admitted()) {
+      giveBack.run();
+      metrics.refused(decision.code());
+      throw new ResultException(decision.code(), "not admitted", decision.retryAt().orElse(null));
+    }
+    admission.started(workspace.name(), request.estimatedTokens(), now);
+    return new RequestRunner(
+        context,
+        request,
+        answer,
+        (code, usedTokens) -> {
+          giveBack.run();
+          Instant end = context.clock().instant();
+          admission.finished(workspace.name(), request.estimatedTokens(), usedTokens, end);
+          metrics.finished(code, now, end);
+        });
+  }
+
+  private AdmissionQuery query(Workspace workspace, CallerRequest request, Instant now) {
+    WorkspaceLimits limits =
+        new WorkspaceLimits(
+            workspace.requestsPerSecond(),
+            workspace.tokensPerSecond(),
+            workspace.maximumConcurrent(),
+            workspace.weight());
+    return new AdmissionQuery(
+        workspace.name(),
+        limits,
+        workspace.priority(),
+        request.estimatedTokens(),
+        0,
+        context.router().estimatedStart(request.served(), now).orElse(now),
+        request.deadline());
+  }
+
+  private ModelRequests.Origin origin(HttpExchange exchange, String requestId) {
+    Workspace workspace = workspaces.of(exchange.getRequestHeaders());
+    boolean acceptsRestart = "accept".equals(header(exchange, "Ibishub-Restart"));
+    return new ModelRequests.Origin(requestId, workspace, deadline(exchange), acceptsRestart);
+  }
+
+  private Instant deadline(HttpExchange exchange) {
+    Instant latest = context.clock().instant().plusSeconds(settings.requestTimeoutSeconds());
+    String given = header(exchange, "Ibishub-Deadline");
+    if (given == null) {
+      return latest;
+    }
+    try {
+      Instant wanted = Instant.parse(given);
+      return wanted.isBefore(latest) ? wanted : latest;
+    } catch (DateTimeException e) {
+      throw new ResultException(
+          ResultCode.MALFORMED_REQUEST,
+          "Ibishub-Deadline must be a time such as 2026-01-31T08:00:00Z");
+    }
+  }
+
+  private static long firstWanted(HttpExchange exchange) {
+    String query = Optional.ofNullable(exchange.getRequestURI().getQuery()).orElse("from=0");
+    Matcher from = Pattern.compile("from=([0-9]{1,18})").matcher(query);
+    if (!from.matches()) {
+      throw new ResultException(
+          ResultCode.MALFORMED_REQUEST, "the query must be from= and a chunk number");
+    }
+    return Long.parseLong(from.group(1));
+  }
+
+  private void requireServing() {
+    if (!serving.getAsBoolean()) {
+      throw new ResultException(
+          ResultCode.ENTRY_LEAVING,
+          "this entry takes no new requests; ask another for addresses",
+          context.clock().instant());
+    }
+  }
+
+  private static void requireMethod(HttpExchange exchange, String method) {
+    if (!exchange.getRequestMethod().equals(method)) {
+      throw new ResultException(ResultCode.METHOD_NOT_ALLOWED, "only " + method + " here");
+    }
+  }
+
+  private static Map<String, List<String>> endToEndHeaders(HttpExchange exchange) {
+    return exchange.getRequestHeaders().entrySet().stream()
+        .filter(header -> !KEPT_BY_ENTRY.contains(header.getKey().toLowerCase(Locale.ROOT)))
+        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+  }
+
+  private static String header(HttpExchange exchange, String name) {
+    return exchange.getRequestHeaders().getFirst(name);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -0,0 +1,264 @@
+package dev.ibishub.entry;
+
+import com.google.common.flogger.FluentLogger;
+import com.sun.net.httpserver.HttpServer;
+import dev.ibishub.core.AddressBook;
+import dev.ibishub.core.Admission;
+import dev.ibishub.core.AdmissionOptions;
+import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.MemberRole;
+import dev.ibishub.core.MemberState;
+import dev.ibishub.core.Membership;
+import dev.ibishub.core.MembershipOptions;
+import dev.ibishub.core.RetryBudget;
+import dev.ibishub.core.Router;
+import dev.ibishub.core.RouterOptions;
+import dev.ibishub.platform.ConfigurationFollower;
+import dev.ibishub.platform.ConfigurationPublisher;
+import dev.ibishub.platform.HttpAppendOnlyLog;
+import dev.ibishub.platform.HttpVirtualMachineList;
+import dev.ibishub.platform.PlatformHttp;
+import dev.ibishub.platform.VirtualMachineList;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MetricsPage;
+import dev.ibishub.settings.EntrySettings;
+import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.TlsContexts;
+import dev.ibishub.wire.WireTransport;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** One entry process: puts the parts together, starts and stops them. */
+public final class Entry {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int BACKLOG = 1_024;
+  private static final int MOST_ADDRESSES = 3;
+  private static final double NEWS_SECONDS = 2;
+  private static final long CONNECT_MILLIS = 200;
+  private static final long TELL_MILLIS = 250;
+  private static final long LIST_MILLIS = 1_000;
+  private static final long DRAIN_POLL_MILLIS = 50;
+  private static final Duration PUBLISH_PATIENCE = Duration.ofSeconds(5);
+
+  private final EntrySettings settings;
+  private final InstantSource clock = InstantSource.system();
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final Router router = Router.create(RouterOptions.defaults());
+  private final Admission admission = Admission.create(AdmissionOptions.defaults());
+  private final Workspaces workspaces = new Workspaces();
+  private final WireTransport transport;
+  private final VirtualMachineList list;
+  private final ConfigurationFollower configuration;
+  private final HttpServer http;
+  private final CallerServer server;
+  private final Membership membership;
+  private final AddressBook addresses;
+  private final TargetLinks targets;
+  private final PeerLinks peers;
+  private final ConfigurationPublisher publisher;
+  private volatile boolean refusing;
+
+  private Entry(EntrySettings settings, Optional<TlsContexts> tls) throws IOException {
+    this.settings = settings;
+    long incarnation = clock.millis();
+    Identity identity = new Identity(settings.processId(), "entry", settings.zone(), incarnation);
+    this.transport = WireTransport.create(identity, tls);
+    HttpClient client = PlatformHttp.newClient(threads);
+    HttpAppendOnlyLog log = HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client);
+    this.list = HttpVirtualMachineList.create(URI.create(settings.virtualMachineListUrl()), client);
+    this.configuration =
+        ConfigurationFollower.create(
+            log, settings.site(), ConfigurationFollower.Options.defaults());
+    this.publisher = ConfigurationPublisher.create(log, configuration, clock, PUBLISH_PATIENCE);
+    this.http =
+        HttpServer.create(new InetSocketAddress(settings.host(), settings.callerPort()), BACKLOG);
+    http.setExecutor(threads);
+    this.server = new CallerServer(http, settings, incarnation, clock);
+    LatePeerListener listener = new LatePeerListener();
+    int peerPort = transport.listen(settings.host(), settings.peerPort(), listener).join();
+    this.membership = Membership.create(self(incarnation, peerPort), MembershipOptions.defaults());
+    this.addresses =
+        AddressBook.create(
+            membership, settings.addressValiditySeconds(), NEWS_SECONDS, MOST_ADDRESSES);
+    this.targets = new TargetLinks(transport, membership, router, clock);
+    this.peers = new PeerLinks(transport, membership, configuration, admission, clock);
+    listener.become(peers);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings checked settings
+   * @return the running entry
+   * @throws IOException if a key file cannot be read or the caller port cannot be had
+   */
+  public static Entry start(EntrySettings settings) throws IOException {
+    Entry entry = new Entry(settings, tls(settings));
+    entry.open();
+    return entry;
+  }
+
+  /**
+   * Leaves without cutting anything off: is unlisted at once, serves until the last answer that
+   * names it has run out, lets what is in flight end, and returns.
+   */
+  public void drain() {
+    Instant deadline = clock.instant().plusSeconds(settings.drainSeconds());
+    membership.leaving(settings.processId(), clock.instant());
+    peers.tellAll();
+    logger.atInfo().log("%s", LogEvent.of("entry.leaving"));
+    Instant serveUntil =
+        addresses.servesUntil().filter(until -> until.isBefore(deadline)).orElse(deadline);
+    await(serveUntil, false);
+    refusing = true;
+    await(deadline, true);
+    logger.atInfo().log("%s", LogEvent.of("entry.drained").with("inFlight", server.inFlight()));
+    close();
+  }
+
+  private void close() {
+    timers.shutdownNow();
+    configuration.close();
+    http.stop(0);
+    transport.close();
+    threads.shutdown();
+  }
+
+  private void await(Instant until, boolean onlyWhileBusy) {
+    while (clock.instant().isBefore(until) && !(onlyWhileBusy && server.inFlight() == 0)) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_MILLIS));
+    }
+  }
+
+  private void open() {
+    configuration.addListener(workspaces::use);
+    configuration.start();
+    RequestContext context =
+        new RequestContext(
+            settings.zone(),
+            targets,
+            router,
+            RetryBudget.defaults(),
+            clock,
+            this::at,
+            threads,
+            () -> ThreadLocalRandom.current().nextLong());
+    new CallerPages(
+            settings,
+            context,
+            server,
+            workspaces,
+            configuration::current,
+            admission,
+            addresses,
+            membership,
+            this::isServing,
+            metrics)
+        .addTo(server);
+    new AdminPages(settings, configuration, publisher, targets, clock).addTo(server);
+    MetricsPage.addTo(http, metrics.registry(), this::isReady);
+    metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
+    metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::openLinks);
+    metrics.gauge("ibishub_entry_peers", "Links to other entries.", peers::openLinks);
+    metrics.gauge(
+        "ibishub_entry_configuration_revision",
+        "Revision in force here.",
+        () -> configuration.current().revision());
+    every(LIST_MILLIS, this::readList);
+    every(CONNECT_MILLIS, targets::connectAll);
+    every(CONNECT_MILLIS, peers::connectAll);
+    every(TELL_MILLIS, this::tellPeers);
+    http.start();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("entry.started")
+            .with("callerPort", http.getAddress().getPort())
+            .with("peerPort", membership.self().port()));
+  }
+
+  private boolean isServing() {
+    return !refusing && configuration.isKnown();
+  }
+
+  private boolean isReady() {
+    return isServing() && addresses.servesUntil().isEmpty() && targets.openLinks() > 0;
+  }
+
+  private void tellPeers() {
+    membership.setLoad(server.inFlight());
+    peers.tellAll();
+  }
+
+  private void readList() {
+    list.read()
+        .thenAccept(
+            machines ->
+                membership.listed(
+                    machines.stream().map(Members::fromList).toList(), clock.instant()));
+  }
+
+  private void at(Instant when, Runnable task) {
+    long millis = Math.max(0, Duration.between(clock.instant(), when).toMillis());
+    var unused = timers.schedule(guarded(task), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void every(long millis, Runnable task) {
+    var unused = timers.scheduleWithFixedDelay(guarded(task), 0, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** A timer whose task throws is never run again, without a word. */
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).log("%s", LogEvent.of("timer.failed"));
+      }
+    };
+  }
+
+  private MemberRecord self(long incarnation, int peerPort) {
+    String url =
+        settings
+            .callerUrl()
+            .orElse("http://" + settings.host() + ":" + http.getAddress().getPort());
+    return new MemberRecord(
+        settings.processId(),
+        MemberRole.ENTRY,
+        settings.zone(),
+        settings.host(),
+        peerPort,
+        url,
+        incarnation,
+        0,
+        MemberState.ALIVE,
+        0);
+  }
+
+  private static Optional<TlsContexts> tls(EntrySettings settings) throws IOException {
+    if (settings.tls().isEmpty()) {
+      return Optional.empty();
+    }
+    var files = settings.tls().get();
+    return Optional.of(
+        TlsContexts.read(
+            Path.of(files.certificateFile()),
+            Path.of(files.keyFile()),
+            Path.of(files.trustFile())));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/EntryMain.java
@@ -0,0 +1,56 @@
+package dev.ibishub.entry;
+
+import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.runtime.StopSignals;
+import dev.ibishub.settings.EntrySettings;
+import dev.ibishub.settings.LogFormat;
+import dev.ibishub.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Command line of {@code ibishub-entry}. */
+public final class EntryMain {
+  private static final String IDLE_CONNECTIONS = "16384";
+
+  private EntryMain() {}
+
+  /**
+   * Runs the entry until it is told to stop.
+   *
+   * @param arguments see {@code ibishub-entry --help}
+   */
+  public static void main(String[] arguments) throws IOException {
+    Path file =
+        CommandLine.settingsFile("ibishub-entry", "Faces callers and operators.", arguments);
+    EntrySettings settings = readOrExit(file);
+    LogSetup.configure(
+        settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.processId());
+    configureHttpServer(settings);
+    Entry entry = Entry.start(settings);
+    StopSignals.onStop(
+        () -> {
+          entry.drain();
+          System.exit(0);
+        });
+  }
+
+  /** The JDK's server reads these once, when its classes load, so they come before all else. */
+  private static void configureHttpServer(EntrySettings settings) {
+    // With Nagle's algorithm each small chunk would wait for the caller's delayed acknowledgement.
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+    System.setProperty(
+        "sun.net.httpserver.maxReqTime", Integer.toString(settings.slowSenderSeconds()));
+    System.setProperty("sun.net.httpserver.maxIdleConnections", IDLE_CONNECTIONS);
+  }
+
+  private static EntrySettings readOrExit(Path file) {
+    try {
+      return EntrySettings.read(file);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      System.exit(CommandLine.USAGE);
+      throw e;
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/PeerLinks.java
@@ -0,0 +1,207 @@
+package dev.ibishub.entry;
+
+import com.google.protobuf.ByteString;
+import dev.ibishub.core.Admission;
+import dev.ibishub.core.ConfigurationReader;
+import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.MemberRole;
+import dev.ibishub.core.Membership;
+import dev.ibishub.core.WorkspaceUse;
+import dev.ibishub.platform.ConfigurationFollower;
+import dev.ibishub.wire.Link;
+import dev.ibishub.wire.LinkListener;
+import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.ConfigurationDigest;
+import dev.ibishub.wire.generated.ConfigurationTransfer;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.MembershipDigest;
+import dev.ibishub.wire.generated.UsageReport;
+import dev.ibishub.wire.generated.WorkspaceUsage;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+
+/**
+ * The links between entries. Each entry tells its peers now and then whom it believes alive, which
+ * configuration it knows and what workspaces have used. Nothing here decides: what comes in goes to
+ * the membership, the configuration and the admission. Thread-safe.
+ */
+final class PeerLinks implements LinkListener {
+  private final WireTransport transport;
+  private final Membership membership;
+  private final ConfigurationFollower configuration;
+  private final Admission admission;
+  private final InstantSource clock;
+  private final Set<Link> open = ConcurrentHashMap.newKeySet();
+  private final Set<String> connecting = ConcurrentHashMap.newKeySet();
+  private Map<String, WorkspaceUse> usageSent = Map.of();
+
+  PeerLinks(
+      WireTransport transport,
+      Membership membership,
+      ConfigurationFollower configuration,
+      Admission admission,
+      InstantSource clock) {
+    this.transport = transport;
+    this.membership = membership;
+    this.configuration = configuration;
+    this.admission = admission;
+    this.clock = clock;
+  }
+
+  /** Opens the links that the membership asks for and that are not open. */
+  void connectAll() {
+    membership.connectTo().stream()
+        .filter(member -> member.role() == MemberRole.ENTRY)
+        .filter(member -> open.stream().noneMatch(link -> isTo(link, member)))
+        .filter(member -> connecting.add(member.id()))
+        .forEach(this::connect);
+  }
+
+  /** Tells all linked peers what this entry knows. */
+  void tellAll() {
+    sendToAll(membershipDigest());
+    sendToAll(configurationDigest());
+    UsageReport changes = usageChanges();
+    if (changes.getWorkspacesCount() > 0) {
+      sendToAll(Frame.newBuilder().setUsageReport(changes).build());
+    }
+  }
+
+  int openLinks() {
+    return open.size();
+  }
+
+  @Override
+  public void onOpen(Link link) {
+    open.add(link);
+    membership.heard(link.peer().processId(), link.peer().incarnation(), clock.instant());
+    link.offer(membershipDigest());
+    link.offer(configurationDigest());
+    link.offer(Frame.newBuilder().setUsageReport(allUsage()).build());
+  }
+
+  @Override
+  public void onFrame(Link link, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case MEMBERSHIP_DIGEST -> onMembership(link, frame.getMembershipDigest());
+      case CONFIGURATION_DIGEST -> onConfigurationDigest(link, frame.getConfigurationDigest());
+      case CONFIGURATION_TRANSFER ->
+          configuration.offer(frame.getConfigurationTransfer().getSnapshot().toByteArray());
+      case USAGE_REPORT -> onUsage(frame.getUsageReport());
+      default -> {
+        // A newer release's frame that this one has no use for.
+      }
+    }
+  }
+
+  @Override
+  public void onClose(Link link) {
+    open.remove(link);
+    membership.missed(link.peer().processId(), clock.instant());
+  }
+
+  private void connect(MemberRecord member) {
+    transport
+        .connect(member.host(), member.port(), this)
+        .whenComplete(
+            (link, failure) -> {
+              connecting.remove(member.id());
+              if (failure != null) {
+                membership.missed(member.id(), clock.instant());
+              }
+            });
+  }
+
+  private static boolean isTo(Link link, MemberRecord member) {
+    return link.peer().processId().equals(member.id());
+  }
+
+  private void onMembership(Link link, MembershipDigest digest) {
+    membership.merge(
+        digest.getMembersList().stream().map(Members::fromWire).toList(), clock.instant());
+    membership.heard(link.peer().processId(), link.peer().incarnation(), clock.instant());
+  }
+
+  private void onConfigurationDigest(Link link, ConfigurationDigest digest) {
+    var theirs =
+        new ConfigurationReader.Digest(
+            digest.getRevision(), digest.getHash(), digest.getNextOffset());
+    if (configuration.isKnown() && theirs.isBehind(configuration.digest())) {
+      link.offer(
+          Frame.newBuilder()
+              .setConfigurationTransfer(
+                  ConfigurationTransfer.newBuilder()
+                      .setSnapshot(ByteString.copyFrom(configuration.transfer())))
+              .build());
+    }
+  }
+
+  private void onUsage(UsageReport report) {
+    Map<String, WorkspaceUse> usage =
+        report.getWorkspacesList().stream()
+            .collect(
+                Collectors.toMap(
+                    WorkspaceUsage::getWorkspace,
+                    use -> new WorkspaceUse(use.getRequests(), use.getTokens())));
+    admission.observePeerUsage(report.getEntry(), usage, clock.instant());
+  }
+
+  private void sendToAll(Frame frame) {
+    open.forEach(link -> link.offer(frame));
+  }
+
+  private Frame membershipDigest() {
+    return Frame.newBuilder()
+        .setMembershipDigest(
+            MembershipDigest.newBuilder()
+                .setSender(membership.self().id())
+                .addAllMembers(
+                    membership.digest(clock.instant()).stream().map(Members::toWire).toList()))
+        .build();
+  }
+
+  private Frame configurationDigest() {
+    ConfigurationReader.Digest digest = configuration.digest();
+    return Frame.newBuilder()
+        .setConfigurationDigest(
+            ConfigurationDigest.newBuilder()
+                .setRevision(digest.revision())
+                .setHash(digest.hash())
+                .setNextOffset(digest.stateOffset()))
+        .build();
+  }
+
+  private UsageReport allUsage() {
+    return report(admission.usage(clock.instant()));
+  }
+
+  /** Only what changed since the last report: most of many workspaces are idle at any time. */
+  private synchronized UsageReport usageChanges() {
+    Map<String, WorkspaceUse> now = admission.usage(clock.instant());
+    Map<String, WorkspaceUse> changed =
+        now.entrySet().stream()
+            .filter(entry -> !entry.getValue().equals(usageSent.get(entry.getKey())))
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    usageSent = now;
+    return report(changed);
+  }
+
+  private UsageReport report(Map<String, WorkspaceUse> usage) {
+    return UsageReport.newBuilder()
+        .setEntry(membership.self().id())
+        .addAllWorkspaces(
+            usage.entrySet().stream()
+                .map(
+                    entry ->
+                        WorkspaceUsage.newBuilder()
+                            .setWorkspace(entry.getKey())
+                            .setRequests(entry.getValue().requests())
+                            .setTokens(entry.getValue().tokens())
+                            .build())
+                .toList())
+        .build();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/ServiceAnswerWriter.java
@@ -0,0 +1,58 @@
+package dev.ibishub.entry;
+
+import com.sun.net.httpserver.HttpExchange;
+import dev.ibishub.core.AnswerEnd;
+import dev.ibishub.core.ResultException;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** A plain service's answer, passed on whole with its status and headers. */
+final class ServiceAnswerWriter implements Answer {
+  private static final Set<String> OF_THE_CONNECTION =
+      Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "date");
+
+  private final HttpExchange exchange;
+  private final String requestId;
+  private final InstantSource clock;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+  ServiceAnswerWriter(HttpExchange exchange, String requestId, InstantSource clock) {
+    this.exchange = exchange;
+    this.requestId = requestId;
+    this.clock = clock;
+  }
+
+  @Override
+  public void piece(String stream, long number, byte[] data) {
+    body.writeBytes(data);
+  }
+
+  @Override
+  public void restart() {
+    body.reset();
+  }
+
+  @Override
+  public void succeed(AnswerEnd end) throws IOException {
+    end.headers().entrySet().stream()
+        .filter(header -> !OF_THE_CONNECTION.contains(header.getKey().toLowerCase(Locale.ROOT)))
+        .forEach(header -> exchange.getResponseHeaders().put(header.getKey(), header.getValue()));
+    String contentType =
+        end.headers().entrySet().stream()
+            .filter(header -> header.getKey().equalsIgnoreCase("content-type"))
+            .map(header -> header.getValue().get(0))
+            .findFirst()
+            .orElse("application/octet-stream");
+    exchange.getResponseHeaders().put("Content-Type", List.of(contentType));
+    Http.send(exchange, end.httpStatus(), contentType, body.toByteArray());
+  }
+
+  @Override
+  public void fail(ResultException failure) throws IOException {
+    Problem.send(exchange, failure, requestId, clock.instant());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/StreamedAnswer.java
@@ -0,0 +1,102 @@
+package dev.ibishub.entry;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.sun.net.httpserver.HttpExchange;
+import dev.ibishub.core.AnswerEnd;
+import dev.ibishub.core.ResultException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+
+/** A model's answer as server-sent events, each numbered, the end with count and checksum. */
+final class StreamedAnswer implements Answer {
+  static final String CONTENT_TYPE = "text/event-stream; charset=utf-8";
+  static final String STREAM_HEADER = "Ibishub-Stream";
+
+  private final HttpExchange exchange;
+  private final String requestId;
+  private final ModelAnswer form;
+  private final long firstWanted;
+  private final InstantSource clock;
+  private OutputStream out;
+
+  /**
+   * Creates an answer.
+   *
+   * @param firstWanted number of the first piece that the caller lacks; earlier ones are not sent
+   */
+  StreamedAnswer(
+      HttpExchange exchange,
+      String requestId,
+      ModelAnswer form,
+      long firstWanted,
+      InstantSource clock) {
+    this.exchange = exchange;
+    this.requestId = requestId;
+    this.form = form;
+    this.firstWanted = firstWanted;
+    this.clock = clock;
+  }
+
+  @Override
+  public void piece(String stream, long number, byte[] data) throws IOException {
+    open(stream);
+    if (number < firstWanted) {
+      return;
+    }
+    String chunk = form.chunk(new String(data, StandardCharsets.UTF_8)).toString();
+    write("id: " + number + "\ndata: " + chunk + "\n\n");
+  }
+
+  @Override
+  public boolean isJoinable() {
+    return true;
+  }
+
+  @Override
+  public void restart() throws IOException {
+    write("event: restart\ndata: {}\n\n");
+  }
+
+  @Override
+  public void succeed(AnswerEnd end) throws IOException {
+    open("");
+    String totals =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("chunks", end.chunkCount())
+            .put("checksum", Integer.toUnsignedLong(end.checksum()))
+            .put("usedTokens", end.usedTokens())
+            .put("resultCode", end.code().number())
+            .toString();
+    write("event: end\ndata: " + totals + "\n\ndata: [DONE]\n\n");
+    exchange.close();
+  }
+
+  @Override
+  public void fail(ResultException failure) throws IOException {
+    if (out == null) {
+      Problem.send(exchange, failure, requestId, clock.instant());
+      return;
+    }
+    write("event: error\ndata: " + Problem.json(failure, requestId, clock.instant()) + "\n\n");
+    exchange.close();
+  }
+
+  private void open(String stream) throws IOException {
+    if (out != null) {
+      return;
+    }
+    exchange.getResponseHeaders().set("Content-Type", CONTENT_TYPE);
+    exchange.getResponseHeaders().set("Cache-Control", "no-store");
+    exchange.getResponseHeaders().set(STREAM_HEADER, stream);
+    exchange.sendResponseHeaders(200, 0);
+    out = exchange.getResponseBody();
+  }
+
+  private void write(String event) throws IOException {
+    out.write(event.getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/TargetLinks.java
@@ -0,0 +1,176 @@
+package dev.ibishub.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.Membership;
+import dev.ibishub.core.Router;
+import dev.ibishub.core.TargetStatus;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.wire.Link;
+import dev.ibishub.wire.LinkListener;
+import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.TargetReport;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+
+/**
+ * The links from this entry to agents. Keeps those open that the membership asks for, feeds the
+ * router with reports, and hands each frame to the attempt or the controller it belongs to.
+ * Thread-safe.
+ */
+final class TargetLinks implements LinkListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final WireTransport transport;
+  private final Membership membership;
+  private final Router router;
+  private final InstantSource clock;
+  private final Map<String, Link> links = new ConcurrentHashMap<>();
+  private final Set<String> connecting = ConcurrentHashMap.newKeySet();
+  private final Map<String, AttemptListener> attempts = new ConcurrentHashMap<>();
+  private final Map<String, TargetReport> reports = new ConcurrentHashMap<>();
+
+  /** Takes what an agent says about one attempt. Calls come on I/O threads and must not block. */
+  interface AttemptListener {
+    void onFrame(Link link, Frame frame);
+
+    void onLinkLost(Link link);
+
+    /** Whose agent the attempt was sent to. */
+    String target();
+  }
+
+  TargetLinks(WireTransport transport, Membership membership, Router router, InstantSource clock) {
+    this.transport = transport;
+    this.membership = membership;
+    this.router = router;
+    this.clock = clock;
+  }
+
+  /** Opens the links that the membership asks for and that are not open. */
+  void connectAll() {
+    membership.connectTo().stream()
+        .filter(member -> member.role() == dev.ibishub.core.MemberRole.AGENT)
+        .forEach(this::connect);
+  }
+
+  /** Returns the open link to a target. */
+  Optional<Link> link(String target) {
+    return Optional.ofNullable(links.get(target)).filter(Link::isOpen);
+  }
+
+  /** Returns the link to a target, opened if need be; fails with {@code TARGET_UNREACHABLE}. */
+  CompletableFuture<Link> linkTo(MemberRecord member) {
+    return link(member.id())
+        .map(CompletableFuture::completedFuture)
+        .orElseGet(() -> transport.connect(member.host(), member.port(), this));
+  }
+
+  void register(String attemptId, AttemptListener listener) {
+    attempts.put(attemptId, listener);
+  }
+
+  void unregister(String attemptId) {
+    attempts.remove(attemptId);
+  }
+
+  /** Returns the newest report of each linked target. */
+  Stream<TargetReport> reports() {
+    return reports.values().stream();
+  }
+
+  int openLinks() {
+    return links.size();
+  }
+
+  @Override
+  public void onOpen(Link link) {
+    String target = link.peer().processId();
+    links.put(target, link);
+    membership.heard(target, link.peer().incarnation(), clock.instant());
+    logger.atInfo().log("%s", LogEvent.of("target.linked").with("target", target));
+  }
+
+  @Override
+  public void onFrame(Link link, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case TARGET_REPORT -> onReport(link, frame.getTargetReport());
+      case CACHE_REPORT ->
+          router.cacheReport(
+              frame.getCacheReport().getTarget(),
+              frame.getCacheReport().getAddedPrefixesList(),
+              frame.getCacheReport().getEvictedPrefixesList());
+      case STARTED -> pass(link, frame.getStarted().getAttemptId(), frame);
+      case CHUNK -> pass(link, frame.getChunk().getAttemptId(), frame);
+      case END -> pass(link, frame.getEnd().getAttemptId(), frame);
+      case REVOKE_REPLY -> pass(link, frame.getRevokeReply().getAttemptId(), frame);
+      default -> {
+        // A newer release's frame that this one has no use for.
+      }
+    }
+  }
+
+  @Override
+  public void onClose(Link link) {
+    String target = link.peer().processId();
+    if (links.remove(target, link)) {
+      router.remove(target);
+      reports.remove(target);
+      membership.missed(target, clock.instant());
+      logger.atInfo().log("%s", LogEvent.of("target.lost").with("target", target));
+    }
+    attempts.values().stream()
+        .filter(attempt -> attempt.target().equals(target))
+        .toList()
+        .forEach(attempt -> attempt.onLinkLost(link));
+  }
+
+  private void connect(MemberRecord member) {
+    if (links.containsKey(member.id()) || !connecting.add(member.id())) {
+      return;
+    }
+    transport
+        .connect(member.host(), member.port(), this)
+        .whenComplete(
+            (link, failure) -> {
+              connecting.remove(member.id());
+              if (failure != null) {
+                membership.missed(member.id(), clock.instant());
+              }
+            });
+  }
+
+  private void pass(Link link, String attemptId, Frame frame) {
+    Optional.ofNullable(attempts.get(attemptId)).ifPresent(attempt -> attempt.onFrame(link, frame));
+  }
+
+  private void onReport(Link link, TargetReport report) {
+    Instant now = clock.instant();
+    membership.heard(report.getTarget(), link.peer().incarnation(), now);
+    if (report.getLeaving()) {
+      membership.leaving(report.getTarget(), now);
+    }
+    reports.put(report.getTarget(), report);
+    router.report(
+        new TargetStatus(
+            report.getTarget(),
+            report.getZone(),
+            report.getLeaving(),
+            report.getEngineReachable(),
+            report.getQueued(),
+            report.getRunning(),
+            report.getLimit(),
+            report.getQueuedTokens(),
+            report.getTokensPerSecond(),
+            Set.copyOf(report.getServedList()),
+            Instant.ofEpochMilli(report.getMeasuredAtMillis())),
+        now);
+  }
+}
--- a/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
@@ -6,6 +6,8 @@
 import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -42,6 +44,7 @@
   private final LoadOptions options;
   private final SplittableRandom random;
   private final List<FiledRequest> filed;
+  private final String keyPrefix;
   private double nextNanos;
   private int nextNumber;
 
@@ -59,6 +62,8 @@
     this.options = options;
     this.random = new SplittableRandom(options.seed());
     this.filed = filed;
+    // The system takes keys that say when they were made.
+    this.keyPrefix = Instant.now().truncatedTo(ChronoUnit.SECONDS) + "/load-";
   }
 
   /**
@@ -141,7 +146,7 @@
       JsonNode body,
       boolean once) {
     Optional<String> key =
-        once ? Optional.of("load-" + options.seed() + "-" + number) : Optional.empty();
+        once ? Optional.of(keyPrefix + options.seed() + "-" + number) : Optional.empty();
     return new PlannedRequest(
         number, (long) nextNanos, workspace, method, path, Optional.ofNullable(body), key);
   }
