--- a/agent/src/main/java/dev/ibishub/agent/Agent.java
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -253,7 +253,8 @@
         Math.min(defaults.initial(), maximum),
         maximum,
         defaults.targetSecondsPerToken(),
-        defaults.tolerance());
+        defaults.tolerance(),
+        defaults.reserved());
   }
 
   private static Optional<TlsContexts> tls(AgentSettings settings) throws IOException {
--- a/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
+++ b/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
@@ -232,7 +232,7 @@
   }
 
   private void startNext() {
-    while (queue.size() > 0 && limit.tryAcquire()) {
+    while (queue.size() > 0 && takePlace()) {
       Instant now = clock.instant();
       Optional<QueuedWork<Attempt>> next = queue.poll(now);
       boolean started = next.isPresent() && table.tryStart(next.get().id(), now);
@@ -245,6 +245,10 @@
     }
   }
 
+  private boolean takePlace() {
+    return limit.tryAcquire() || (queue.isNextUrgent() && limit.tryAcquireReserved());
+  }
+
   private void run(QueuedWork<Attempt> work, Instant startedAt) {
     Attempt attempt = work.item();
     attempt.sendStarted();
