--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -13,10 +13,13 @@
 import dev.ibishub.core.RetryBudget;
 import dev.ibishub.core.Router;
 import dev.ibishub.core.RouterOptions;
+import dev.ibishub.platform.AppendOnlyLog;
+import dev.ibishub.platform.AuditTrail;
 import dev.ibishub.platform.ConfigurationFollower;
 import dev.ibishub.platform.ConfigurationPublisher;
 import dev.ibishub.platform.HttpAppendOnlyLog;
 import dev.ibishub.platform.HttpVirtualMachineList;
+import dev.ibishub.platform.OperatorApi;
 import dev.ibishub.platform.PlatformHttp;
 import dev.ibishub.platform.VirtualMachineList;
 import dev.ibishub.runtime.LogEvent;
@@ -63,6 +66,7 @@
   private final Workspaces workspaces = new Workspaces();
   private final WireTransport transport;
   private final VirtualMachineList list;
+  private final AppendOnlyLog log;
   private final ConfigurationFollower configuration;
   private final HttpServer http;
   private final CallerServer server;
@@ -79,7 +83,7 @@
     Identity identity = new Identity(settings.processId(), "entry", settings.zone(), incarnation);
     this.transport = WireTransport.create(identity, tls);
     HttpClient client = PlatformHttp.newClient(threads);
-    HttpAppendOnlyLog log = HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client);
+    this.log = HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client);
     this.list = HttpVirtualMachineList.create(URI.create(settings.virtualMachineListUrl()), client);
     this.configuration =
         ConfigurationFollower.create(
@@ -170,7 +174,7 @@
             this::isServing,
             metrics)
         .addTo(server);
-    new AdminPages(settings, configuration, publisher, targets, clock).addTo(server);
+    new AdminPages(settings, operatorApi()).addTo(server);
     MetricsPage.addTo(http, metrics.registry(), this::isReady);
     metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
     metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::openLinks);
@@ -191,6 +195,19 @@
             .with("peerPort", membership.self().port()));
   }
 
+  private OperatorApi operatorApi() {
+    OrderDesk orders = new OrderDesk(targets::link, clock);
+    targets.addListener(
+        frame -> {
+          if (frame.hasOrderReply()) {
+            orders.onReply(frame.getOrderReply());
+          }
+        });
+    StatusPage status = new StatusPage(configuration, membership, targets, clock);
+    return OperatorApi.create(
+        configuration, publisher, AuditTrail.on(log), orders, status::json, clock);
+  }
+
   private boolean isServing() {
     return !refusing && configuration.isKnown();
   }
--- a/entry/src/main/java/dev/ibishub/entry/TargetLinks.java
+++ b/entry/src/main/java/dev/ibishub/entry/TargetLinks.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.MemberRole;
 import dev.ibishub.core.Membership;
 import dev.ibishub.core.Router;
 import dev.ibishub.core.TargetStatus;
@@ -13,11 +14,14 @@
 import dev.ibishub.wire.generated.TargetReport;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /**
@@ -36,6 +40,7 @@
   private final Set<String> connecting = ConcurrentHashMap.newKeySet();
   private final Map<String, AttemptListener> attempts = new ConcurrentHashMap<>();
   private final Map<String, TargetReport> reports = new ConcurrentHashMap<>();
+  private final List<Consumer<Frame>> otherListeners = new CopyOnWriteArrayList<>();
 
   /** Takes what an agent says about one attempt. Calls come on I/O threads and must not block. */
   interface AttemptListener {
@@ -57,7 +62,7 @@
   /** Opens the links that the membership asks for and that are not open. */
   void connectAll() {
     membership.connectTo().stream()
-        .filter(member -> member.role() == dev.ibishub.core.MemberRole.AGENT)
+        .filter(member -> member.role() == MemberRole.AGENT)
         .forEach(this::connect);
   }
 
@@ -81,6 +86,11 @@
     attempts.remove(attemptId);
   }
 
+  /** Adds a listener for the frames that belong to no attempt: replies to orders and groups. */
+  void addListener(Consumer<Frame> listener) {
+    otherListeners.add(listener);
+  }
+
   /** Returns the newest report of each linked target. */
   Stream<TargetReport> reports() {
     return reports.values().stream();
@@ -111,9 +121,7 @@
       case CHUNK -> pass(link, frame.getChunk().getAttemptId(), frame);
       case END -> pass(link, frame.getEnd().getAttemptId(), frame);
       case REVOKE_REPLY -> pass(link, frame.getRevokeReply().getAttemptId(), frame);
-      default -> {
-        // A newer release's frame that this one has no use for.
-      }
+      default -> otherListeners.forEach(listener -> listener.accept(frame));
     }
   }
 
