Let the load tool measure an engine directly and leave streams on the way

Cause: what entry and agent add to the times needs the same requests sent to the engine itself, and callers that go away were not tried. A fault of the tool itself now counts as a breach, as its request would be missing from the counts.

--- a/standins/src/main/java/dev/ibishub/standins/Caller.java
+++ b/standins/src/main/java/dev/ibishub/standins/Caller.java
@@ -40,7 +40,9 @@
     /** No connection: the request surely was not sent. */
     UNREACHABLE,
     /** The connection broke, or fell silent. */
-    BROKEN
+    BROKEN,
+    /** The caller itself left on the way. */
+    LEFT
   }
 
   /**
@@ -94,7 +96,8 @@
       StreamedAnswer answer,
       StreamReader reader)
       throws InterruptedException {
-    return read(builder(request, entry, patience).build(), patience, answer, reader);
+    HttpRequest sent = builder(request, entry, patience).build();
+    return read(request, sent, patience, answer, reader);
   }
 
   /** Joins a streamed answer again, from the chunk that is due. */
@@ -109,11 +112,15 @@
     URI uri = URI.create(entry + "/v1/streams/" + stream + "?from=" + answer.nextChunk());
     HttpRequest.Builder join = HttpRequest.newBuilder(uri).timeout(positive(patience)).GET();
     addHeaders(join, request);
-    return read(join.build(), patience, answer, reader);
+    return read(request, join.build(), patience, answer, reader);
   }
 
   private Result read(
-      HttpRequest request, Duration patience, StreamedAnswer answer, StreamReader reader)
+      PlannedRequest planned,
+      HttpRequest request,
+      Duration patience,
+      StreamedAnswer answer,
+      StreamReader reader)
       throws InterruptedException {
     CompletableFuture<HttpResponse.ResponseInfo> head = new CompletableFuture<>();
     CompletableFuture<HttpResponse<byte[]>> whole =
@@ -127,7 +134,7 @@
                   : BodySubscribers.ofByteArray();
             });
     try {
-      HttpResponse<byte[]> response = await(whole, head, patience, reader);
+      HttpResponse<byte[]> response = await(planned, whole, head, patience, answer, reader);
       if (response.statusCode() != 200) {
         return whole(response);
       }
@@ -147,6 +154,9 @@
     } catch (TimeoutException e) {
       reader.stop();
       whole.cancel(true);
+      if (leaves(planned, answer)) {
+        return Result.broken(Kind.LEFT, requestIdOf(head), streamOf(head), "left on the way");
+      }
       return Result.broken(Kind.BROKEN, requestIdOf(head), streamOf(head), "fell silent");
     }
   }
@@ -154,9 +164,11 @@
   // A stopped entry keeps its connections open and says nothing: after the idle time the caller
   // leaves the answer and goes to another entry.
   private HttpResponse<byte[]> await(
+      PlannedRequest planned,
       CompletableFuture<HttpResponse<byte[]>> whole,
       CompletableFuture<HttpResponse.ResponseInfo> head,
       Duration patience,
+      StreamedAnswer answer,
       StreamReader reader)
       throws InterruptedException, ExecutionException, TimeoutException {
     long giveUpAt = System.nanoTime() + patience.toNanos();
@@ -167,13 +179,18 @@
       } catch (TimeoutException e) {
         long now = System.nanoTime();
         boolean silent = head.isDone() && now - reader.lastLineNanos() > idleNanos;
-        if (silent || now > giveUpAt) {
+        if (silent || now > giveUpAt || leaves(planned, answer)) {
           throw e;
         }
       }
     }
   }
 
+  private static boolean leaves(PlannedRequest planned, StreamedAnswer answer) {
+    return planned.leaveAfter().isPresent()
+        && answer.nextChunk() >= planned.leaveAfter().getAsInt();
+  }
+
   private static Result whole(HttpResponse<byte[]> response) {
     String requestId = header(response.headers(), "Ibishub-Request-Id");
     Optional<JsonNode> body = jsonOf(response.body());
--- a/standins/src/main/java/dev/ibishub/standins/CallerSession.java
+++ b/standins/src/main/java/dev/ibishub/standins/CallerSession.java
@@ -44,6 +44,8 @@
     DONE,
     NOT_RUN,
     OUTCOME_UNKNOWN,
+    /** The caller itself left on the way. */
+    LEFT,
     /** No answer of any kind within the caller's patience. */
     LOST,
     /** An answer that must never be: wrong, partial or doubled. */
@@ -115,6 +117,7 @@
     return switch (result.kind()) {
       case ANSWERED -> answered(result);
       case REFUSED -> refused(result);
+      case LEFT -> Optional.of(ending(Outcome.LEFT, ResultCode.CANCELLED.number(), ""));
       case UNREACHABLE -> {
         attempts = Math.max(0, attempts - 1);
         addresses.suspect();
@@ -130,7 +133,7 @@
         if (stream.isEmpty()) {
           startAnew();
         }
-        goElsewhere(0);
+        goElsewhere(resumes > 0 ? PAUSE_MILLIS : 0);
         yield Optional.empty();
       }
     };
--- /dev/null
+++ b/standins/src/main/java/dev/ibishub/standins/DirectSession.java
@@ -0,0 +1,80 @@
+package dev.ibishub.standins;
+
+import dev.ibishub.core.Outcome;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
+import dev.ibishub.platform.GenerationCall;
+import dev.ibishub.platform.ModelEngine;
+import dev.ibishub.platform.PlatformJson;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+
+/**
+ * One model call sent to an engine itself, past entry and agent: what those add to the times is
+ * measured against it. Nothing is tried twice. Used by one thread.
+ */
+final class DirectSession {
+  private final PlannedRequest request;
+  private final ModelEngine engine;
+  private final LoadOptions options;
+  private final List<Long> chunkNanos = new ArrayList<>();
+  private final StringBuilder text = new StringBuilder();
+
+  DirectSession(PlannedRequest request, ModelEngine engine, LoadOptions options) {
+    this.request = request;
+    this.engine = engine;
+    this.options = options;
+  }
+
+  CallerSession.Ending run() {
+    try {
+      engine.generate(call(), this::take).join();
+      boolean own = text.toString().equals(request.expectedText());
+      return own
+          ? ending(CallerSession.Outcome.DONE, ResultCode.OK, "")
+          : ending(CallerSession.Outcome.BREACH, ResultCode.INTERNAL, "wrong: got " + text);
+    } catch (CompletionException e) {
+      ResultException failure = (ResultException) e.getCause();
+      boolean notRun = failure.code().outcome() == Outcome.NOT_RUN;
+      return ending(
+          notRun ? CallerSession.Outcome.NOT_RUN : CallerSession.Outcome.OUTCOME_UNKNOWN,
+          failure.code(),
+          failure.getMessage());
+    }
+  }
+
+  private GenerationCall call() {
+    return new GenerationCall(
+        "direct-" + options.seed() + "-" + request.number() + "-" + System.nanoTime(),
+        request.body().orElseThrow().path("model").asText(),
+        "",
+        "",
+        request.path().contains("chat"),
+        PlatformJson.write(request.body().orElseThrow()),
+        0,
+        0,
+        Instant.now().plusSeconds(options.patienceSeconds()));
+  }
+
+  private void take(long number, String piece) {
+    chunkNanos.add(System.nanoTime());
+    text.append(piece);
+  }
+
+  private CallerSession.Ending ending(
+      CallerSession.Outcome outcome, ResultCode code, String detail) {
+    return new CallerSession.Ending(
+        request,
+        outcome,
+        code.number(),
+        1,
+        0,
+        0,
+        List.copyOf(chunkNanos),
+        List.of(),
+        System.nanoTime(),
+        detail);
+  }
+}
--- a/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
+++ b/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
@@ -95,7 +95,7 @@
     return switch (ending.outcome()) {
       case DONE -> executions != 1;
       case NOT_RUN -> executions != 0;
-      case OUTCOME_UNKNOWN, LOST, BREACH -> executions > 1;
+      case OUTCOME_UNKNOWN, LOST, LEFT, BREACH -> executions > 1;
     };
   }
 
--- a/standins/src/main/java/dev/ibishub/standins/LoadMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadMain.java
@@ -1,5 +1,7 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.platform.HttpModelEngine;
+import dev.ibishub.platform.ModelEngine;
 import dev.ibishub.platform.PlatformHttp;
 import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
@@ -7,6 +9,7 @@
 import java.nio.file.Files;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
@@ -86,6 +89,10 @@
       throws IOException, InterruptedException {
     AddressBook addresses = new AddressBook(client, options.entries());
     Caller caller = new Caller(client, options);
+    List<ModelEngine> engines =
+        options.directEngines().stream()
+            .<ModelEngine>map(engine -> HttpModelEngine.create(engine, client))
+            .toList();
     LoadPlan plan = LoadPlan.create(options);
     Semaphore inFlight = new Semaphore(options.mostAtOnce());
     Optional<PlannedRequest> next = plan.next();
@@ -93,7 +100,12 @@
       PlannedRequest request = next.get();
       sleepUntil(startNanos + request.intendedNanos());
       if (inFlight.tryAcquire()) {
-        CallerSession session = new CallerSession(request, caller, addresses, options, startNanos);
+        Callable<CallerSession.Ending> session =
+            engines.isEmpty()
+                ? new CallerSession(request, caller, addresses, options, startNanos)::run
+                : new DirectSession(
+                        request, engines.get(request.number() % engines.size()), options)
+                    ::run;
         executor.execute(() -> runSession(session, recorder, inFlight));
       } else {
         recorder.countNotSent();
@@ -104,11 +116,14 @@
     inFlight.acquire(options.mostAtOnce());
   }
 
-  private static void runSession(CallerSession session, LoadRecorder recorder, Semaphore inFlight) {
+  private static void runSession(
+      Callable<CallerSession.Ending> session, LoadRecorder recorder, Semaphore inFlight) {
     try {
-      recorder.record(session.run());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      recorder.record(session.call());
+    } catch (Exception e) {
+      // A fault of this tool, not of what it measures: the request is missing from the counts, and
+      // a run that lost one must not pass.
+      recorder.countFault(e);
     } finally {
       inFlight.release();
     }
--- a/standins/src/main/java/dev/ibishub/standins/LoadOptions.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadOptions.java
@@ -33,6 +33,8 @@
  * @param mostAtOnce the most requests in flight
  * @param serviceAudits control addresses of the service stand-ins
  * @param engineAudits control addresses of the engine stand-ins
+ * @param directEngines engines to send model calls to, past the entries; empty for none
+ * @param abandonShare share of streams that the caller leaves on the way, 0 to 1
  * @param reportFile where the JSON report goes
  */
 record LoadOptions(
@@ -58,6 +60,8 @@
     int mostAtOnce,
     List<URI> serviceAudits,
     List<URI> engineAudits,
+    List<URI> directEngines,
+    double abandonShare,
     Optional<Path> reportFile) {
   /** A customer with its key and its share of the requests. */
   record Workspace(String name, String key, double share) {
@@ -96,6 +100,7 @@
     models = List.copyOf(models);
     serviceAudits = List.copyOf(serviceAudits);
     engineAudits = List.copyOf(engineAudits);
+    directEngines = List.copyOf(directEngines);
     if (rate <= 0 || durationSeconds < 1 || entries.isEmpty() || workspaces.isEmpty()) {
       throw new IllegalArgumentException("rate, duration, entries and workspaces are needed");
     }
@@ -126,6 +131,8 @@
     text(parser, "most-at-once", "Requests in flight at most.", "2000");
     text(parser, "audit-services", "URLs of service stand-ins to audit at the end.", "");
     text(parser, "audit-engines", "URLs of engine stand-ins to audit at the end.", "");
+    text(parser, "direct-engines", "Engines to send to, past the entries.", "");
+    text(parser, "abandon-share", "Share of streams left on the way.", "0");
     text(parser, "report", "File for the JSON report.", "");
     return parser;
   }
@@ -154,6 +161,8 @@
         Integer.parseInt(text(options, "most-at-once")),
         uris(options, "audit-services"),
         uris(options, "audit-engines"),
+        uris(options, "direct-engines"),
+        Double.parseDouble(text(options, "abandon-share")),
         file(options, "report"));
   }
 
--- a/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
 
@@ -148,7 +149,20 @@
     Optional<String> key =
         once ? Optional.of(keyPrefix + options.seed() + "-" + number) : Optional.empty();
     return new PlannedRequest(
-        number, (long) nextNanos, workspace, method, path, Optional.ofNullable(body), key);
+        number,
+        (long) nextNanos,
+        workspace,
+        method,
+        path,
+        Optional.ofNullable(body),
+        leaveAfter(),
+        key);
+  }
+
+  private OptionalInt leaveAfter() {
+    return options.abandonShare() > 0 && random.nextDouble() < options.abandonShare()
+        ? OptionalInt.of(1 + random.nextInt(options.answerTokens().highest()))
+        : OptionalInt.empty();
   }
 
   private String prompt(LoadOptions.Workspace workspace, int number) {
--- a/standins/src/main/java/dev/ibishub/standins/LoadRecorder.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadRecorder.java
@@ -65,6 +65,12 @@
     }
   }
 
+  void countFault(Exception fault) {
+    synchronized (lock) {
+      breach("FAULT of the load tool: " + fault);
+    }
+  }
+
   void countNotSent() {
     synchronized (lock) {
       notSent++;
--- a/standins/src/main/java/dev/ibishub/standins/PlannedRequest.java
+++ b/standins/src/main/java/dev/ibishub/standins/PlannedRequest.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * One request of a load run, settled before it is sent.
@@ -12,6 +13,7 @@
  * @param method the HTTP method
  * @param path from the slash on
  * @param body the JSON to send, or empty for none
+ * @param leaveAfter after how many chunks the caller leaves, or empty for never
  * @param idempotencyKey names a call that may not be repeated, or empty
  */
 record PlannedRequest(
@@ -21,6 +23,7 @@
     String method,
     String path,
     Optional<JsonNode> body,
+    OptionalInt leaveAfter,
     Optional<String> idempotencyKey) {
   boolean forModel() {
     return path.startsWith("/v1/");
--- a/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
@@ -42,30 +42,14 @@
 
   @Test
   void aChunkGivenTwiceIsABreach() throws Exception {
-    CallerSession.Ending ending =
-        run(
-            request ->
-                StandInReply.streamed(
-                    out -> {
-                      writeChunks(out, answer(request), 0, 3);
-                      writeChunks(out, answer(request), 2, 5);
-                      writeEnd(out, 5);
-                    }));
+    CallerSession.Ending ending = run(request -> twoParts(request, 3, 2));
     assertThat(ending.outcome()).isEqualTo(CallerSession.Outcome.BREACH);
     assertThat(ending.detail()).contains("duplicate");
   }
 
   @Test
   void aMissingChunkIsABreach() throws Exception {
-    CallerSession.Ending ending =
-        run(
-            request ->
-                StandInReply.streamed(
-                    out -> {
-                      writeChunks(out, answer(request), 0, 2);
-                      writeChunks(out, answer(request), 3, 5);
-                      writeEnd(out, 5);
-                    }));
+    CallerSession.Ending ending = run(request -> twoParts(request, 2, 3));
     assertThat(ending.detail()).contains("partial");
   }
 
@@ -187,6 +171,16 @@
     return ExpectedAnswer.tokens("dictionary", request.body().orElseThrow());
   }
 
+  /** Chunks up to one number, then from another on to the end. */
+  private static StandInReply twoParts(StandInRequest request, int to, int from) {
+    return StandInReply.streamed(
+        out -> {
+          writeChunks(out, answer(request), 0, to);
+          writeChunks(out, answer(request), from, 5);
+          writeEnd(out, 5);
+        });
+  }
+
   private static StandInReply stream(List<String> tokens, int from, int to, boolean whole) {
     return StandInReply.streamed(
             out -> {
