--- a/standins/src/main/java/dev/ibishub/standins/StandInMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInMain.java
@@ -54,7 +54,7 @@
     if (kind.equals("engine")) {
       return startEngine(options);
     }
-    StandInServer server = listen(kind, options, 0, new FaultSwitch(), handlerOf(kind, options));
+    StandInServer server = listen(options, 0, new FaultSwitch(), handlerOf(kind, options));
     return new RunningStandIn(List.of(server), () -> {});
   }
 
@@ -92,20 +92,17 @@
     for (int rank = 0; rank < engine.ranks(); rank++) {
       FaultSwitch rankFaults = faults.get(rank);
       EngineStandIn face = new EngineStandIn(group, rank, engine, rankFaults);
-      servers.add(listen("engine", options, rank, rankFaults, face::handle));
+      servers.add(listen(options, rank, rankFaults, face::handle));
     }
     return new RunningStandIn(servers, group::close);
   }
 
   // Ranks listen on consecutive ports, or each on any free one.
   private static StandInServer listen(
-      String kind, OptionSet options, int rank, FaultSwitch faults, StandInServer.Handler handler)
+      OptionSet options, int rank, FaultSwitch faults, StandInServer.Handler handler)
       throws IOException {
     int port = (int) StandInOptions.number(options, "port");
     String host = (String) options.valueOf("host");
-    StandInServer server = StandInServer.start(host, port == 0 ? 0 : port + rank, faults, handler);
-    System.out.printf("ready %s %s:%d%n", kind, host, server.address().getPort());
-    System.out.flush();
-    return server;
+    return StandInServer.start(host, port == 0 ? 0 : port + rank, faults, handler);
   }
 }
