--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package dev.ibishub.bench;
 
 import dev.ibishub.bench.fairness.FairnessBench;
+import dev.ibishub.bench.routing.RoutingBench;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -14,7 +15,7 @@
 /** The program behind {@code bin/bench}: runs one bench and writes its report. */
 public final class BenchMain {
   private static final int USAGE = 2;
-  private static final List<Bench> BENCHES = List.of(new FairnessBench());
+  private static final List<Bench> BENCHES = List.of(new FairnessBench(), new RoutingBench());
 
   private BenchMain() {}
 
--- a/bench/src/main/java/dev/ibishub/bench/model/EngineModel.java
+++ b/bench/src/main/java/dev/ibishub/bench/model/EngineModel.java
@@ -77,6 +77,19 @@
     }
   }
 
+  /** Seconds until the first token of a request that is started now. */
+  double firstTokenSeconds(ModelRequest request) {
+    double own =
+        cachedPrefixes.contains(request.prefixHash())
+            ? request.promptTokens() * (1 - parameters.prefixShare())
+            : request.promptTokens();
+    double prompts = own + sequences.stream().mapToInt(sequence -> sequence.promptLeft).sum();
+    double steps = Math.ceil(prompts / parameters.promptTokensPerStep());
+    return slowdown
+        * (steps * (parameters.stepSeconds() + sequences.size() * parameters.sequenceSeconds())
+            + prompts * parameters.promptTokenSeconds());
+  }
+
   /** Drops a request whose answer is no longer wanted. */
   public boolean cancel(ModelRequest request) {
     return sequences.removeIf(sequence -> sequence.request().equals(request));
--- a/bench/src/main/java/dev/ibishub/bench/model/TargetModel.java
+++ b/bench/src/main/java/dev/ibishub/bench/model/TargetModel.java
@@ -59,6 +59,22 @@
     return id;
   }
 
+  public String zone() {
+    return zone;
+  }
+
+  public Set<String> served() {
+    return served;
+  }
+
+  public boolean serves(String name) {
+    return served.contains(name);
+  }
+
+  public boolean isLeaving() {
+    return leaving;
+  }
+
   public EngineModel engine() {
     return engine;
   }
@@ -89,6 +105,14 @@
     startNext();
   }
 
+  /** What a request that came now would wait for its first token, by the true state. */
+  public double firstTokenSeconds(ModelRequest request) {
+    boolean waits = queue.size() > 0 || engine.running() >= limit.limit();
+    double rate = tokensPerSecond > 0 ? tokensPerSecond : 1;
+    double ahead = queue.queuedTokens() + request.estimatedTokens();
+    return (waits ? ahead / rate : 0) + engine.firstTokenSeconds(request);
+  }
+
   /** Takes out what has expired in the queue. */
   public List<ModelRequest> removeExpired() {
     return queue.removeExpired(events.now()).stream().map(QueuedWork::item).toList();
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/routing/RouteResult.java
@@ -0,0 +1,31 @@
+package dev.ibishub.bench.routing;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * What one run measured after its warm-up.
+ *
+ * @param firstToken time to first token, in microseconds
+ * @param betweenTokens mean time between the tokens of each answer, in microseconds
+ * @param hitRate share of prompts whose prefix was cached
+ * @param imbalance most tokens of one target over the mean
+ * @param slowShare share of the tokens that the slow target served
+ * @param failedAttempts attempts that failed, for each request
+ */
+record RouteResult(
+    Histogram firstToken,
+    Histogram betweenTokens,
+    double hitRate,
+    double imbalance,
+    double slowShare,
+    double failedAttempts) {
+  private static final double MICROS_PER_MILLI = 1000;
+
+  double firstTokenMillis(double percentile) {
+    return firstToken.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+
+  double betweenTokensMillis(double percentile) {
+    return betweenTokens.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Measures how targets are chosen on late and partial knowledge. */
+package dev.ibishub.bench.routing;
--- /dev/null
+++ b/core/src/test/java/dev/ibishub/core/MembershipTest.java
@@ -0,0 +1,232 @@
+package dev.ibishub.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+  private static final Instant NOW = Instant.parse("2026-12-02T00:00:00Z");
+  private static final MembershipOptions OPTIONS = new MembershipOptions(2, 2, 60, 4, 2, 3, 8);
+
+  private final Membership membership = view("entry-0");
+
+  /**
+   * Callers keep being sent to an entry that is gone: the list of VMs names it for minutes after.
+   */
+  @Test
+  void deadEntryIsNoLongerLiveWhateverTheListSays() {
+    known("entry-1", 1);
+    missTwice("entry-1", NOW);
+    membership.missed("entry-1", NOW.plusSeconds(3));
+    membership.listed(List.of(listed("entry-1", MemberState.ALIVE)), NOW.plusSeconds(4));
+
+    assertThat(membership.liveEntries()).isEmpty();
+    assertThat(membership.member("entry-1").orElseThrow().state()).isEqualTo(MemberState.DEAD);
+  }
+
+  /** An entry that is well gets no callers: the list has lost it, or says that it is leaving. */
+  @Test
+  void entryThatIsHeardStaysWhenTheListForgetsIt() {
+    known("entry-1", 1);
+    membership.listed(List.of(), NOW.plusSeconds(1));
+    membership.heard("entry-1", 1, NOW.plusSeconds(100));
+
+    assertThat(membership.liveEntries()).extracting(MemberRecord::id).containsExactly("entry-1");
+  }
+
+  /**
+   * An entry was paused for a moment, others suspect it, and it gets no callers although it is
+   * back. Its own word with a higher number wins, also over suspicions that come late.
+   */
+  @Test
+  void refutedSuspicionStaysRefuted() {
+    known("entry-1", 1);
+    missTwice("entry-1", NOW);
+    MemberRecord suspicion = membership.member("entry-1").orElseThrow();
+    Membership suspect = view("entry-1");
+    suspect.merge(List.of(suspicion), NOW);
+    membership.merge(suspect.digest(NOW), NOW);
+    membership.merge(List.of(suspicion), NOW);
+
+    assertThat(membership.liveEntries()).extracting(MemberRecord::id).containsExactly("entry-1");
+  }
+
+  @Test
+  void oneMissSuspectsNobody() {
+    known("entry-1", 1);
+    membership.missed("entry-1", NOW);
+    membership.heard("entry-1", 1, NOW);
+    membership.missed("entry-1", NOW);
+
+    assertThat(membership.liveEntries()).hasSize(1);
+  }
+
+  /** A restarted process must not be held to what was believed of the one before it. */
+  @Test
+  void newIncarnationWinsOverDeathOfTheOld() {
+    known("entry-1", 1);
+    missTwice("entry-1", NOW);
+    membership.missed("entry-1", NOW.plusSeconds(3));
+    MemberRecord dead = membership.member("entry-1").orElseThrow();
+    membership.heard("entry-1", 2, NOW.plusSeconds(4));
+    membership.merge(List.of(dead), NOW.plusSeconds(5));
+
+    assertThat(membership.liveEntries()).hasSize(1);
+  }
+
+  /**
+   * A caller is cut off: an entry left although an answer that named it was still in use. It was
+   * named on the word of a third entry that did not know yet.
+   */
+  @Test
+  void leavingEntryServesUntilEveryAnswerThatNamesItHasRunOut() {
+    Membership leaving = view("entry-1");
+    AddressBook own = AddressBook.create(leaving, 30, 1, 3);
+    AddressBook peer = AddressBook.create(membership, 30, 1, 3);
+    known("entry-1", 1);
+    membership.heard("entry-1", 1, NOW);
+    leaving.leaving("entry-1", NOW);
+
+    // The peer has not heard the news for a while, but has second-hand word that it is alive.
+    membership.merge(List.of(record("entry-1", 1)), NOW.plusSeconds(14));
+    Instant runsOut = validUntil(peer, "entry-1", NOW.plusSeconds(14));
+
+    assertThat(own.servesUntil().orElseThrow()).isAfterOrEqualTo(runsOut);
+    assertThat(own.addresses(NOW)).isEmpty();
+  }
+
+  @Test
+  void newsOfLeavingUnlistsAnEntryAtOnce() {
+    Membership leaving = view("entry-1");
+    known("entry-1", 1);
+    membership.heard("entry-1", 1, NOW);
+    leaving.leaving("entry-1", NOW);
+    membership.merge(leaving.digest(NOW), NOW);
+    membership.heard("entry-1", 1, NOW);
+
+    assertThat(AddressBook.create(membership, 30, 1, 3).addresses(NOW))
+        .extracting(EntryAddress::url)
+        .containsExactly("http://entry-0");
+  }
+
+  @Test
+  void addressesPreferOwnZoneThenTheLeastLoaded() {
+    Stream.of(
+            record("far", 1).withLoad(0),
+            inZone(record("busy", 1), "zone-0").withLoad(9),
+            inZone(record("calm", 1), "zone-0").withLoad(1))
+        .forEach(
+            record -> {
+              membership.merge(List.of(record), NOW);
+              membership.heard(record.id(), 1, NOW);
+            });
+    membership.setLoad(5);
+
+    assertThat(AddressBook.create(membership, 30, 1, 9).addresses(NOW))
+        .extracting(EntryAddress::url)
+        .containsExactly("http://calm", "http://entry-0", "http://busy", "http://far");
+  }
+
+  @Test
+  void linksAreBoundedAndStayWhenOthersCome() {
+    membership.listed(agents(0, 50), NOW);
+    List<MemberRecord> before = membership.connectTo();
+    membership.listed(agents(0, 52), NOW);
+
+    assertThat(before).hasSize(6);
+    assertThat(membership.connectTo()).filteredOn(before::contains).hasSizeGreaterThan(3);
+  }
+
+  @Test
+  void digestIsBoundedAndTellsAllInTheEnd() {
+    IntStream.range(0, 40)
+        .forEach(number -> membership.merge(List.of(record("entry-x" + number, 1)), NOW));
+
+    List<String> told =
+        IntStream.range(0, 400)
+            .mapToObj(tenth -> membership.digest(NOW.plusSeconds(60).plusMillis(100L * tenth)))
+            .peek(digest -> assertThat(digest).hasSizeLessThanOrEqualTo(8))
+            .flatMap(List::stream)
+            .map(MemberRecord::id)
+            .distinct()
+            .toList();
+
+    assertThat(told).hasSize(41);
+  }
+
+  private static Instant validUntil(AddressBook book, String entry, Instant now) {
+    return book.addresses(now).stream()
+        .filter(address -> address.url().equals("http://" + entry))
+        .findFirst()
+        .orElseThrow()
+        .validUntil();
+  }
+
+  private void known(String id, long incarnation) {
+    membership.listed(List.of(listed(id, MemberState.ALIVE)), NOW);
+    membership.merge(List.of(record(id, incarnation)), NOW);
+  }
+
+  private void missTwice(String id, Instant now) {
+    membership.missed(id, now);
+    membership.missed(id, now);
+  }
+
+  private static Membership view(String id) {
+    return Membership.create(inZone(record(id, 1), "zone-0"), OPTIONS);
+  }
+
+  private static List<MemberRecord> agents(int from, int until) {
+    return IntStream.range(from, until)
+        .mapToObj(
+            number ->
+                new MemberRecord(
+                    "agent-" + number,
+                    MemberRole.AGENT,
+                    "zone-" + number % 2,
+                    "127.0.0.1",
+                    1,
+                    "",
+                    0,
+                    0,
+                    MemberState.ALIVE,
+                    0))
+        .toList();
+  }
+
+  private static MemberRecord listed(String id, MemberState state) {
+    return record(id, 0).withState(state);
+  }
+
+  private static MemberRecord record(String id, long incarnation) {
+    return new MemberRecord(
+        id,
+        MemberRole.ENTRY,
+        "zone-1",
+        "127.0.0.1",
+        1,
+        "http://" + id,
+        incarnation,
+        0,
+        MemberState.ALIVE,
+        0);
+  }
+
+  private static MemberRecord inZone(MemberRecord record, String zone) {
+    return new MemberRecord(
+        record.id(),
+        record.role(),
+        zone,
+        record.host(),
+        record.port(),
+        record.callerUrl(),
+        record.incarnation(),
+        record.refutation(),
+        record.state(),
+        record.load());
+  }
+}
