--- a/bench/src/main/java/dev/ibishub/bench/fairness/FloodRun.java
+++ b/bench/src/main/java/dev/ibishub/bench/fairness/FloodRun.java
@@ -64,6 +64,7 @@
   }
 
   private Result go(List<Workload> workloads, long seed) {
+    routers.forEach(router -> router.setEntries(ENTRIES));
     events.every(REPORT_PERIOD, this::report);
     report();
     IntStream.range(0, workloads.size())
--- a/bench/src/main/java/dev/ibishub/bench/routing/RoutePolicies.java
+++ b/bench/src/main/java/dev/ibishub/bench/routing/RoutePolicies.java
@@ -100,6 +100,7 @@
       this.run = run;
       this.zone = RouteRun.zone(entry);
       this.random = new Random(run.seed() + entry);
+      router.setEntries(RouteRun.ENTRIES);
     }
 
     @Override
--- a/bench/src/main/java/dev/ibishub/bench/routing/RouteRun.java
+++ b/bench/src/main/java/dev/ibishub/bench/routing/RouteRun.java
@@ -22,7 +22,7 @@
   static final double WARM_UP = 10;
   static final double END = 40;
   private static final int TARGETS = 16;
-  private static final int ENTRIES = 6;
+  static final int ENTRIES = 6;
   private static final int ZONES = 3;
   private static final int PROMPT = 600;
   private static final int OUTPUT = 100;
--- a/bench/src/main/java/dev/ibishub/bench/routing/Scenario.java
+++ b/bench/src/main/java/dev/ibishub/bench/routing/Scenario.java
@@ -16,19 +16,20 @@
 record Scenario(String name, double lagSeconds, double load, Consumer<RouteRun> disturbance) {
   static final String SLOW_TARGET = "target-3";
   private static final double SLOWDOWN = 2.5;
-  private static final Consumer<RouteRun> NOTHING = run -> {};
 
   static List<Scenario> all() {
     return List.of(
-        new Scenario("lag 0 s", 0, 0.8, NOTHING),
-        new Scenario("lag 0.5 s", 0.5, 0.8, NOTHING),
-        new Scenario("lag 1 s", 1, 0.8, NOTHING),
-        new Scenario("lag 2 s", 2, 0.8, NOTHING),
+        new Scenario("lag 0 s", 0, 0.8, Scenario::nothing),
+        new Scenario("lag 0.5 s", 0.5, 0.8, Scenario::nothing),
+        new Scenario("lag 1 s", 1, 0.8, Scenario::nothing),
+        new Scenario("lag 2 s", 2, 0.8, Scenario::nothing),
         new Scenario("slow target", 0.5, 0.7, Scenario::slowTarget),
         new Scenario("targets come and go", 0.5, 0.7, Scenario::comeAndGo),
         new Scenario("domain lost", 0.5, 0.5, Scenario::domainLost));
   }
 
+  private static void nothing(RouteRun run) {}
+
   private static void slowTarget(RouteRun run) {
     run.at(RouteRun.WARM_UP, () -> run.target(SLOW_TARGET).engine().slowDown(SLOWDOWN));
   }
--- a/core/src/main/java/dev/ibishub/core/Router.java
+++ b/core/src/main/java/dev/ibishub/core/Router.java
@@ -34,11 +34,15 @@
  * }</pre>
  */
 public final class Router {
+  private static final double HOLDER_MISSES = 0.25;
+  private static final double SECOND_OWNER_MISSES = 0.25;
+
   private final RouterOptions options;
   private final Map<String, TargetState> targets = new ConcurrentHashMap<>();
   private final Map<String, ServedTargets> byServed = new ConcurrentHashMap<>();
   private final CacheHints cacheHints;
   private final Object ejectionLock = new Object();
+  private volatile int entries = 1;
 
   private Router(RouterOptions options) {
     this.options = options;
@@ -50,6 +54,15 @@
     return new Router(options);
   }
 
+  /**
+   * Sets how many entries share the targets, this one among them.
+   *
+   * @param count at least 1
+   */
+  public void setEntries(int count) {
+    entries = Math.max(1, count);
+  }
+
   /**
    * Takes a target's report. One that was measured before the last is dropped.
    *
@@ -96,13 +109,10 @@
     if (served == null) {
       return Optional.empty();
     }
-    List<String> holders =
-        query.prefixHash() == 0 ? List.of() : cacheHints.holders(query.prefixHash());
-    Set<TargetState> likelyCached = likelyCached(query, served, holders);
-    Stream<TargetState> candidates =
-        Stream.concat(likelyCached.stream(), served.twoAtRandom(random));
-    return cheapest(candidates, likelyCached, query, now)
-        .or(() -> cheapest(served.all().stream(), likelyCached, query, now))
+    List<Candidate> likelyCached = likelyCached(query, served);
+    Stream<Candidate> atRandom = served.twoAtRandom(random).map(Candidate::withoutPrefix);
+    return cheapest(Stream.concat(likelyCached.stream(), atRandom), query, now)
+        .or(() -> cheapest(served.all().stream().map(Candidate::withoutPrefix), query, now))
         .map(TargetState::target);
   }
 
@@ -170,7 +180,7 @@
         known
             .sample()
             .filter(target -> target.isEligible(now))
-            .mapToDouble(target -> target.waitSeconds(now))
+            .mapToDouble(target -> target.waitSeconds(entries, now))
             .sorted()
             .toArray();
     return waits.length == 0
@@ -178,41 +188,47 @@
         : Optional.of(Seconds.after(now, waits[waits.length / 2]));
   }
 
-  private Set<TargetState> likelyCached(
-      RouteQuery query, ServedTargets served, List<String> holders) {
+  /**
+   * The first owner of the prefix is taken to have it, since that is where it is sent. Targets that
+   * said that they have it, and the second owner, come after: were they as good, a prefix would
+   * soon be cached everywhere, and there would be room for few.
+   */
+  private List<Candidate> likelyCached(RouteQuery query, ServedTargets served) {
     if (query.prefixHash() == 0) {
-      return Set.of();
+      return List.of();
     }
-    Set<TargetState> known = new HashSet<>();
-    holders.stream()
-        .map(targets::get)
-        .filter(state -> state != null && state.status().served().contains(query.served()))
-        .forEach(known::add);
-    if (known.isEmpty()) {
-      served.owner(query.prefixHash()).ifPresent(known::add);
-    }
-    return known;
+    List<TargetState> owners = served.owners(query.prefixHash());
+    Stream<Candidate> first = owners.stream().limit(1).map(Candidate::withPrefix);
+    Stream<Candidate> holders =
+        cacheHints.holders(query.prefixHash()).stream()
+            .map(targets::get)
+            .filter(state -> state != null && state.status().served().contains(query.served()))
+            .map(state -> new Candidate(state, HOLDER_MISSES));
+    Stream<Candidate> second =
+        owners.stream().skip(1).map(state -> new Candidate(state, SECOND_OWNER_MISSES));
+    return Stream.of(first, holders, second).flatMap(part -> part).toList();
   }
 
   private Optional<TargetState> cheapest(
-      Stream<TargetState> candidates,
-      Set<TargetState> likelyCached,
-      RouteQuery query,
-      Instant now) {
+      Stream<Candidate> candidates, RouteQuery query, Instant now) {
     return candidates
-        .filter(state -> !query.excluded().contains(state.target()) && state.isEligible(now))
-        .map(state -> new Candidate(state, cost(state, likelyCached, query, now)))
+        .filter(candidate -> mayTake(candidate.state(), query, now))
+        .map(candidate -> new Offer(candidate.state(), cost(candidate, query, now)))
         .reduce((best, next) -> next.isClearlyCheaperThan(best) ? next : best)
-        .map(Candidate::state);
+        .map(Offer::state);
   }
 
-  private double cost(
-      TargetState state, Set<TargetState> likelyCached, RouteQuery query, Instant now) {
+  private static boolean mayTake(TargetState state, RouteQuery query, Instant now) {
+    return !query.excluded().contains(state.target()) && state.isEligible(now);
+  }
+
+  private double cost(Candidate candidate, RouteQuery query, Instant now) {
+    TargetState state = candidate.state();
     boolean otherZone = !state.status().zone().equals(query.zone());
-    boolean prefill = query.prefixHash() != 0 && !likelyCached.contains(state);
-    return state.costSeconds(query.estimatedTokens(), now)
+    double prefill = query.prefixHash() == 0 ? 0 : candidate.missShare();
+    return state.costSeconds(query.estimatedTokens(), entries, now)
         + (otherZone ? options.otherZonePenaltySeconds() : 0)
-        + (prefill ? options.prefixSavingSeconds() : 0);
+        + prefill * options.prefixSavingSeconds();
   }
 
   /**
@@ -242,14 +258,30 @@
     return byServed.computeIfAbsent(served, name -> new ServedTargets());
   }
 
+  /**
+   * A target that may get the work.
+   *
+   * @param state of the target
+   * @param missShare how likely the prefix is not cached there, 0 to 1
+   */
+  private record Candidate(TargetState state, double missShare) {
+    static Candidate withPrefix(TargetState state) {
+      return new Candidate(state, 0);
+    }
+
+    static Candidate withoutPrefix(TargetState state) {
+      return new Candidate(state, 1);
+    }
+  }
+
   /**
    * Estimates are noisy. Were the least of nearly equal ones always taken, the same targets would
    * win each time; so the candidate that was drawn first stays unless another is clearly cheaper.
    */
-  private record Candidate(TargetState state, double cost) {
+  private record Offer(TargetState state, double cost) {
     private static final double CLEARLY = 0.9;
 
-    boolean isClearlyCheaperThan(Candidate other) {
+    boolean isClearlyCheaperThan(Offer other) {
       return cost < CLEARLY * other.cost;
     }
   }
--- a/core/src/main/java/dev/ibishub/core/RouterOptions.java
+++ b/core/src/main/java/dev/ibishub/core/RouterOptions.java
@@ -4,7 +4,8 @@
  * How a {@link Router} weighs targets.
  *
  * @param otherZonePenaltySeconds added to the estimated wait at a target of another failure domain
- * @param prefixSavingSeconds first-token time that a cached prefix is taken to save
+ * @param prefixSavingSeconds wait that is worth a cached prefix: what it saves the request and, as
+ *     the target has more time, those behind it
  * @param initialTokensPerSecond rate assumed of a target that reports none
  * @param slowStartSeconds time over which a target that is new or back gets to its full share
  * @param ejectionFailures failures in a row that eject a target
@@ -38,6 +39,6 @@
 
   /** The options that docs/MEASUREMENTS.md was measured with. */
   public static RouterOptions defaults() {
-    return new RouterOptions(0.003, 0.1, 1000, 10, 5, 5, 0.3, 4096);
+    return new RouterOptions(0.003, 0.8, 1000, 10, 5, 5, 0.3, 4096);
   }
 }
--- a/core/src/main/java/dev/ibishub/core/internal/routing/AffinityTable.java
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/AffinityTable.java
@@ -1,43 +1,37 @@
 package dev.ibishub.core.internal.routing;
 
 import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 
 /**
- * Which target a prefix belongs to, by rendezvous hashing over a fixed number of slots: a target
- * that comes or goes moves only the slots that it wins or held, and a lookup takes one array
- * access. Immutable.
+ * Which targets a prefix belongs to, best first, by rendezvous hashing over a fixed number of
+ * slots: a target that comes or goes moves only the slots that it wins or held, and a lookup takes
+ * one access. The second owner takes what is too much for the first, so that the overflow of a
+ * prefix meets a warm cache too. Immutable.
  */
 final class AffinityTable {
-  static final AffinityTable EMPTY = new AffinityTable(new TargetState[0]);
+  static final AffinityTable EMPTY = new AffinityTable(List.of());
   private static final int SLOTS = 1024;
+  private static final int OWNERS = 2;
 
-  private final TargetState[] owners;
+  private final List<List<TargetState>> ownersBySlot;
 
-  private AffinityTable(TargetState[] owners) {
-    this.owners = owners;
+  private AffinityTable(List<List<TargetState>> ownersBySlot) {
+    this.ownersBySlot = ownersBySlot;
   }
 
-  static AffinityTable of(List<TargetState> targets) {
-    if (targets.isEmpty()) {
-      return EMPTY;
-    }
-    TargetState[] owners = new TargetState[SLOTS];
-    Arrays.setAll(owners, slot -> winner(slot, targets));
-    return new AffinityTable(owners);
+  private static AffinityTable build(IntFunction<List<TargetState>> ownersOfSlot) {
+    return new AffinityTable(IntStream.range(0, SLOTS).mapToObj(ownersOfSlot).toList());
   }
 
   /** A table in which one more target takes the slots that it wins. */
   AffinityTable with(TargetState target) {
-    if (owners.length == 0) {
-      return of(List.of(target));
-    }
-    TargetState[] changed = owners.clone();
-    Arrays.setAll(
-        changed, slot -> score(slot, target) > score(slot, changed[slot]) ? target : changed[slot]);
-    return new AffinityTable(changed);
+    return ownersBySlot.isEmpty()
+        ? build(slot -> List.of(target))
+        : build(slot -> best(slot, append(ownersBySlot.get(slot), target)));
   }
 
   /** A table in which the slots of one target fall to the others. */
@@ -45,20 +39,31 @@
     if (others.isEmpty()) {
       return EMPTY;
     }
-    TargetState[] changed = owners.clone();
-    Arrays.setAll(changed, slot -> changed[slot] == target ? winner(slot, others) : changed[slot]);
-    return new AffinityTable(changed);
+    return build(
+        slot -> {
+          List<TargetState> owners = ownersBySlot.get(slot);
+          return owners.contains(target) ? best(slot, others) : owners;
+        });
+  }
+
+  /** The owners of a prefix, best first; none in an empty table. */
+  List<TargetState> owners(long prefixHash) {
+    return ownersBySlot.isEmpty()
+        ? List.of()
+        : ownersBySlot.get((int) Long.remainderUnsigned(prefixHash, SLOTS));
   }
 
-  /** The owner of a prefix; the table must not be empty. */
-  TargetState owner(long prefixHash) {
-    return owners[(int) Long.remainderUnsigned(prefixHash, SLOTS)];
+  private static List<TargetState> append(List<TargetState> owners, TargetState target) {
+    return IntStream.rangeClosed(0, owners.size())
+        .mapToObj(at -> at < owners.size() ? owners.get(at) : target)
+        .toList();
   }
 
-  private static TargetState winner(int slot, List<TargetState> targets) {
+  private static List<TargetState> best(int slot, List<TargetState> targets) {
     return targets.stream()
-        .max(Comparator.comparingLong(target -> score(slot, target)))
-        .orElseThrow();
+        .sorted(Comparator.comparingLong((TargetState target) -> score(slot, target)).reversed())
+        .limit(OWNERS)
+        .toList();
   }
 
   private static long score(int slot, TargetState target) {
--- a/core/src/main/java/dev/ibishub/core/internal/routing/SentWork.java
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/SentWork.java
@@ -3,32 +3,22 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 
-/**
- * What an entry sent to a target and the target's last report does not show yet. Not thread-safe.
- */
+/** When this entry sent work to a target that its last report does not show. Not thread-safe. */
 final class SentWork {
-  private final ArrayDeque<Sent> sent = new ArrayDeque<>();
-  private double tokens;
+  private final ArrayDeque<Instant> sentAt = new ArrayDeque<>();
 
-  void add(double moreTokens, Instant at) {
-    sent.addLast(new Sent(moreTokens, at));
-    tokens += moreTokens;
+  void add(Instant at) {
+    sentAt.addLast(at);
   }
 
   /** Forgets what a report that was measured at the given time has counted. */
   void forgetUntil(Instant measuredAt) {
-    while (!sent.isEmpty() && !sent.peekFirst().at().isAfter(measuredAt)) {
-      tokens -= sent.pollFirst().tokens();
+    while (!sentAt.isEmpty() && !sentAt.peekFirst().isAfter(measuredAt)) {
+      sentAt.pollFirst();
     }
   }
 
   int count() {
-    return sent.size();
+    return sentAt.size();
   }
-
-  double tokens() {
-    return sent.isEmpty() ? 0 : tokens;
-  }
-
-  private record Sent(double tokens, Instant at) {}
 }
--- a/core/src/main/java/dev/ibishub/core/internal/routing/ServedTargets.java
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/ServedTargets.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -40,10 +39,9 @@
     return view.targets;
   }
 
-  /** The target that a prefix belongs to. */
-  public Optional<TargetState> owner(long prefixHash) {
-    View seen = view;
-    return seen.targets.isEmpty() ? Optional.empty() : Optional.of(seen.affinity.owner(prefixHash));
+  /** The targets that a prefix belongs to, best first. */
+  public List<TargetState> owners(long prefixHash) {
+    return view.affinity.owners(prefixHash);
   }
 
   /** Two targets, drawn independently; the same one may come twice. */
--- a/core/src/main/java/dev/ibishub/core/internal/routing/TargetState.java
+++ b/core/src/main/java/dev/ibishub/core/internal/routing/TargetState.java
@@ -8,6 +8,7 @@
 
 /** What an entry knows of one target. Thread-safe by one lock for each target. */
 public final class TargetState {
+  private static final double SIZE_SMOOTHING = 0.05;
   private static final double SMALLEST_RAMP = 0.1;
   private static final double OLDEST_REPORT_SECONDS = 5;
   private static final double LONG_WAIT_SECONDS = 0.2;
@@ -21,6 +22,7 @@
   private TargetStatus status;
   private Instant slowStartFrom;
   private Instant ejectedUntil = Instant.MIN;
+  private double meanTokens;
   private int failuresInARow;
   private int ejections;
 
@@ -60,7 +62,8 @@
   }
 
   public synchronized void sent(double tokens, Instant now) {
-    sent.add(tokens, now);
+    meanTokens = meanTokens == 0 ? tokens : meanTokens + SIZE_SMOOTHING * (tokens - meanTokens);
+    sent.add(now);
   }
 
   /** Whether the target may get work. */
@@ -98,13 +101,8 @@
   }
 
   /** Estimated seconds until the target starts work that is sent now. */
-  public synchronized double waitSeconds(Instant now) {
-    double rate = tokensPerSecond();
-    int free = status.queued() > 0 ? 0 : Math.max(0, status.limit() - status.running());
-    int sentCount = sent.count();
-    double waitingShare = sentCount <= free ? 0 : (double) (sentCount - free) / sentCount;
-    double waiting = status.queuedTokens() + waitingShare * sent.tokens();
-    return Math.max(0, waiting / rate - ageSeconds(now));
+  public synchronized double waitSeconds(int entries, Instant now) {
+    return waitFor(outstanding(entries, now));
   }
 
   /**
@@ -112,11 +110,40 @@
    * that the work takes, which grows with what runs beside it. A target in its slow start looks
    * dearer than it is.
    */
-  public synchronized double costSeconds(double tokens, Instant now) {
-    double busy =
-        (status.running() + status.queued() + sent.count()) / (double) Math.max(1, status.limit());
+  public synchronized double costSeconds(double tokens, int entries, Instant now) {
+    double outstanding = outstanding(entries, now);
+    double busy = Math.min(1, outstanding / limit());
     double own = tokens / tokensPerSecond();
-    return (rounded(waitSeconds(now)) + own * (1 + Math.min(1, busy))) / ramp(now);
+    return (rounded(waitFor(outstanding)) + own * (1 + busy)) / ramp(now);
+  }
+
+  /**
+   * Pieces of work at the target now: those of the report, less what has ended since, and what was
+   * sent since. The other entries are taken to have sent as much each as this one: they see the
+   * same reports, so what draws this entry to a target draws them too.
+   */
+  private double outstanding(int entries, Instant now) {
+    double atReport = status.running() + status.queued();
+    double fill = Math.min(1, atReport / limit());
+    double ended = ageSeconds(now) * fill * tokensPerSecond() / meanTokens();
+    return Math.max(0, atReport - ended + entries * sent.count());
+  }
+
+  private double waitFor(double outstanding) {
+    double waiting = Math.max(0, outstanding - limit());
+    double more = (waiting - status.queued()) * meanTokens();
+    return waiting == 0 ? 0 : Math.max(0, status.queuedTokens() + more) / tokensPerSecond();
+  }
+
+  private int limit() {
+    return Math.max(1, status.limit());
+  }
+
+  private double meanTokens() {
+    if (status.queued() > 0 && status.queuedTokens() > 0) {
+      return status.queuedTokens() / status.queued();
+    }
+    return Math.max(1, meanTokens);
   }
 
   /**
