--- /dev/null
+++ b/agent/src/main/java/dev/ibishub/agent/RankController.java
@@ -0,0 +1,225 @@
+package dev.ibishub.agent;
+
+import com.google.protobuf.ByteString;
+import dev.ibishub.core.GroupCommand.Kind;
+import dev.ibishub.core.RankGate;
+import dev.ibishub.core.RankStatus;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.platform.ModelEngine;
+import dev.ibishub.platform.RankOrder;
+import dev.ibishub.platform.RankState;
+import dev.ibishub.platform.WeightReservation;
+import dev.ibishub.platform.WeightStore;
+import dev.ibishub.wire.generated.GroupCommand;
+import dev.ibishub.wire.generated.GroupReply;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * Runs the agent's side of the switch of the expert map: passes a leader's commands through {@link
+ * RankGate} to the engine, one at a time, and reads the engine's state before and after each.
+ *
+ * <p>Engines may ignore fencing numbers, so an order of this agent's predecessor, or one whose
+ * answer was lost, could take effect after a state was reported that does not show it. Until the
+ * settling time is over no command is taken. Commands are bound to this process by their
+ * connection: what was sent to a predecessor never arrives here. Thread-safe.
+ */
+public final class RankController {
+  private static final byte[] NO_MAP = new byte[0];
+
+  private final ModelEngine engine;
+  private final WeightGate weights;
+  private final Function<GroupCommand, WeightReservation> weightsOf;
+  private final InstantSource clock;
+  private final Duration settleFor;
+  private final OneAtATime calls = new OneAtATime();
+  private final String group;
+  private final RankGate gate;
+  private Instant quietUntil;
+  private long reservedVersion;
+
+  /**
+   * Creates the controller of an agent that has just started.
+   *
+   * @param engine the rank's engine
+   * @param weightStore asked for leave before a map is staged
+   * @param weightsOf what a staged map makes the engine fetch
+   * @param group the group's name
+   * @param rank the rank's number
+   * @param settleFor how long after the end of a call to the engine its order may take effect
+   * @param clock the time
+   */
+  public RankController(
+      ModelEngine engine,
+      WeightStore weightStore,
+      Function<GroupCommand, WeightReservation> weightsOf,
+      String group,
+      int rank,
+      Duration settleFor,
+      InstantSource clock) {
+    this.engine = engine;
+    this.weights = new WeightGate(weightStore, clock);
+    this.weightsOf = weightsOf;
+    this.group = group;
+    this.gate = RankGate.create(group, rank);
+    this.settleFor = settleFor;
+    this.clock = clock;
+    this.quietUntil = clock.instant().plus(settleFor);
+  }
+
+  /**
+   * Handles one command of a leader.
+   *
+   * @param command the command
+   * @return the reply, which says by its result code whether the rank obeyed; never fails
+   */
+  public CompletableFuture<GroupReply> handle(GroupCommand command) {
+    return calls.run(() -> handleNext(command));
+  }
+
+  private CompletableFuture<GroupReply> handleNext(GroupCommand command) {
+    Optional<dev.ibishub.core.GroupCommand> known = toCore(command);
+    if (known.isEmpty()) {
+      return CompletableFuture.completedFuture(
+          refusal(command, ResultCode.PROTOCOL_VIOLATION, "unnumbered or of an unknown kind"));
+    }
+    if (clock.instant().isBefore(quietUntil)) {
+      return CompletableFuture.completedFuture(
+          refusal(command, ResultCode.NOT_READY, "an order may yet take effect"));
+    }
+    return engine
+        .rank()
+        .thenCompose(state -> decide(command, known.get(), toStatus(state)))
+        .exceptionally(
+            failure -> refusal(command, Failures.codeOf(failure), Failures.messageOf(failure)));
+  }
+
+  private CompletableFuture<GroupReply> decide(
+      GroupCommand wire, dev.ibishub.core.GroupCommand command, RankStatus before) {
+    RankGate.Verdict verdict = gate.admit(command, before);
+    if (!verdict.order()) {
+      return CompletableFuture.completedFuture(toWire(gate.reply(command, verdict.code(), before)));
+    }
+    return reserve(wire)
+        .thenCompose(unused -> engine.orderRank(orderOf(command)))
+        .thenApply(after -> toWire(gate.reply(command, ResultCode.OK, toStatus(after))))
+        .exceptionallyCompose(failure -> failed(command, failure));
+  }
+
+  private CompletableFuture<GroupReply> failed(
+      dev.ibishub.core.GroupCommand command, Throwable failure) {
+    ResultCode code = Failures.codeOf(failure);
+    if (mayYetTakeEffect(code)) {
+      quietUntil = clock.instant().plus(settleFor);
+      return CompletableFuture.failedFuture(failure);
+    }
+    return engine.rank().thenApply(after -> toWire(gate.reply(command, code, toStatus(after))));
+  }
+
+  private static boolean mayYetTakeEffect(ResultCode code) {
+    return switch (code) {
+      case STEP_ALREADY_PASSED, MAP_NOT_STAGED, STALE_FENCING_TOKEN, WEIGHT_STORE_BUSY -> false;
+      default -> true;
+    };
+  }
+
+  private CompletableFuture<Void> reserve(GroupCommand command) {
+    Kind kind = Kind.valueOf(nameOf(command));
+    if (kind != Kind.STAGE || reservedVersion == command.getMapVersion()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return weights
+        .reserve(weightsOf.apply(command))
+        .thenRun(() -> reservedVersion = command.getMapVersion());
+  }
+
+  private GroupReply refusal(GroupCommand command, ResultCode code, String detail) {
+    return GroupReply.newBuilder()
+        .setGroup(group)
+        .setEpoch(command.getEpoch())
+        .setSequence(command.getSequence())
+        .setKind(command.getKind())
+        .setHighestEpoch(gate.promisedEpoch())
+        .setRank(gate.rank())
+        .setResultCode(code.number())
+        .setDetail(detail)
+        .build();
+  }
+
+  private static String nameOf(GroupCommand command) {
+    return command.getKind().name().substring("GROUP_COMMAND_KIND_".length());
+  }
+
+  private static Optional<dev.ibishub.core.GroupCommand> toCore(GroupCommand command) {
+    boolean known =
+        command.getKind() != dev.ibishub.wire.generated.GroupCommandKind.UNRECOGNIZED
+            && command.getKind()
+                != dev.ibishub.wire.generated.GroupCommandKind.GROUP_COMMAND_KIND_UNSPECIFIED;
+    if (!known || command.getEpoch() <= 0 || command.getSequence() <= 0) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new dev.ibishub.core.GroupCommand(
+            command.getGroup(),
+            command.getGroupIncarnation(),
+            command.getEpoch(),
+            command.getSequence(),
+            Kind.valueOf(nameOf(command)),
+            command.getMapVersion(),
+            command.getStep(),
+            command.getMap().toByteArray()));
+  }
+
+  private static GroupReply toWire(dev.ibishub.core.GroupReply reply) {
+    RankStatus status = reply.status();
+    boolean wantsMap = reply.kind() == Kind.PREPARE || reply.kind() == Kind.JOIN;
+    return GroupReply.newBuilder()
+        .setGroup(reply.group())
+        .setGroupIncarnation(reply.incarnation())
+        .setRank(reply.rank())
+        .setEpoch(reply.epoch())
+        .setSequence(reply.sequence())
+        .setKind(
+            dev.ibishub.wire.generated.GroupCommandKind.valueOf(
+                "GROUP_COMMAND_KIND_" + reply.kind()))
+        .setResultCode(reply.code().number())
+        .setHighestEpoch(reply.highestEpoch())
+        .setCurrentStep(status.step())
+        .setCurrentMapVersion(status.mapVersion())
+        .setStagedMapVersion(status.stagedMapVersion())
+        .setHoldStep(status.holdStep())
+        .setCommittedMapVersion(status.committedMapVersion())
+        .setCommittedStep(status.committedStep())
+        .addAllExpertPopularity(status.expertPopularity())
+        .setStepMillis(status.stepMillis())
+        .setCurrentMap(ByteString.copyFrom(wantsMap ? status.map() : NO_MAP))
+        .build();
+  }
+
+  private static RankOrder orderOf(dev.ibishub.core.GroupCommand command) {
+    return new RankOrder(
+        RankOrder.Kind.valueOf(command.kind().name()),
+        command.epoch(),
+        command.mapVersion(),
+        command.step(),
+        command.map());
+  }
+
+  private static RankStatus toStatus(RankState state) {
+    return new RankStatus(
+        state.engineStart(),
+        state.step(),
+        state.mapVersion(),
+        state.stagedMapVersion(),
+        state.holdStep(),
+        state.committedMapVersion(),
+        state.committedStep(),
+        state.map(),
+        state.expertPopularity(),
+        state.stepMillis());
+  }
+}
--- a/core/src/main/java/dev/ibishub/core/GroupLeader.java
+++ b/core/src/main/java/dev/ibishub/core/GroupLeader.java
@@ -99,7 +99,7 @@
    */
   public static GroupLeader create(
       String group, int ranks, long epoch, GroupLeaderOptions options) {
-    if (ranks <= 0 || epoch <= 0 || epoch > GroupLeaderOptions.MAXIMUM_EPOCH) {
+    if (ranks <= 0 || epoch <= 0 || epoch >= GroupEpoch.MAXIMUM) {
       throw new IllegalArgumentException("ranks or epoch out of range");
     }
     return new GroupLeader(group, ranks, epoch, options);
@@ -155,7 +155,10 @@
    */
   public void onReply(GroupReply reply, Instant now) {
     highestSeenEpoch = Math.max(highestSeenEpoch, reply.highestEpoch());
-    if (reply.highestEpoch() > epoch) {
+    // An engine that checks numbers can remember a later leader that its restarted agent forgot.
+    boolean engineRefuses =
+        reply.epoch() == epoch && reply.code() == ResultCode.STALE_FENCING_TOKEN;
+    if (reply.highestEpoch() > epoch || engineRefuses) {
       phase = Phase.DEPOSED;
     }
     if (phase == Phase.DEPOSED || reply.epoch() != epoch) {
--- a/core/src/main/java/dev/ibishub/core/GroupLeaderOptions.java
+++ b/core/src/main/java/dev/ibishub/core/GroupLeaderOptions.java
@@ -17,11 +17,8 @@
     Duration refreshAfter,
     Duration holdFor,
     int minimumLeadSteps) {
-  /** The highest epoch: leaves room for the number of a map within its epoch. */
-  public static final long MAXIMUM_EPOCH = 1L << 42;
-
   /** How many maps one epoch can number. */
-  public static final long MAPS_AN_EPOCH = 1L << 20;
+  public static final long MAPS_AN_EPOCH = 1L << 16;
 
   /** Checks that times and margins are positive. */
   public GroupLeaderOptions {
--- a/core/src/main/java/dev/ibishub/core/RankGate.java
+++ b/core/src/main/java/dev/ibishub/core/RankGate.java
@@ -123,6 +123,10 @@
         report(engine));
   }
 
+  public int rank() {
+    return rank;
+  }
+
   public long promisedEpoch() {
     return promisedEpoch;
   }
--- a/standins/src/main/java/dev/ibishub/standins/RankMap.java
+++ b/standins/src/main/java/dev/ibishub/standins/RankMap.java
@@ -110,7 +110,7 @@
         order.mapVersion() == version
             || (order.mapVersion() == committedVersion && order.step() == committedStep);
     if (repeated) {
-      holdStep = 0;
+      endHold(order.step());
       return;
     }
     requireNotBegun(order.step(), lastBegunStep);
@@ -121,10 +121,17 @@
     committedVersion = stagedVersion;
     committedMap = stagedMap;
     committedStep = order.step();
-    holdStep = 0;
+    endHold(order.step());
     lostMemory = false;
   }
 
+  // Only the hold of that step: a rank that joins gets the map in use while it holds a later step.
+  private void endHold(long step) {
+    if (holdStep == step) {
+      holdStep = 0;
+    }
+  }
+
   private static void requireNotBegun(long step, long lastBegunStep) {
     if (step <= lastBegunStep) {
       throw new ResultException(
