Audit by whole request names, and check the checksum of a stream

Cause: an engine's stream is named by request id, a dot and the attempt. The audit compared by a bare prefix, so a refused r1 was blamed for r10.1. Change: the dot belongs to the prefix; service executions are held against refused requests too; the entry's CRC-32C at the end of a stream is checked.

--- a/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
+++ b/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
@@ -10,9 +10,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 
@@ -25,6 +27,7 @@
 
   private final HttpClient client;
   private final Map<String, Integer> executionsByKey = new HashMap<>();
+  private final Set<String> executedRequests = new HashSet<>();
   private final NavigableSet<String> startedStreams = new TreeSet<>();
 
   private ExecutionAudit(HttpClient client) {
@@ -61,6 +64,7 @@
   private void readService(URI service) throws IOException, InterruptedException {
     ServiceStandIn.Audit audit =
         PlatformJson.read(get(service, "/control/executions"), ServiceStandIn.Audit.class);
+    audit.executions().forEach(execution -> executedRequests.add(execution.requestId()));
     audit.byKey().forEach((key, count) -> executionsByKey.merge(key, count, Integer::sum));
   }
 
@@ -103,7 +107,7 @@
     return executionsByKey.getOrDefault(ending.request().idempotencyKey().orElseThrow(), 0);
   }
 
-  // An engine's stream ids begin with the entry's request id.
+  // An engine's stream id is the entry's request id, a dot, and the number of the attempt.
   private List<String> notRunBreaches(List<CallerSession.Ending> endings) {
     return endings.stream()
         .flatMap(ending -> ending.notRunIds().stream())
@@ -113,7 +117,8 @@
   }
 
   private boolean started(String requestId) {
-    String first = startedStreams.ceiling(requestId);
-    return first != null && first.startsWith(requestId);
+    String prefix = requestId + ".";
+    String first = startedStreams.ceiling(prefix);
+    return executedRequests.contains(requestId) || (first != null && first.startsWith(prefix));
   }
 }
--- a/standins/src/main/java/dev/ibishub/standins/LoadOptions.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadOptions.java
@@ -106,6 +106,36 @@
     }
   }
 
+  /** The same load for another time and seed, at engines themselves or, with none, at entries. */
+  LoadOptions withRun(long seconds, long runSeed, List<URI> engines) {
+    return new LoadOptions(
+        entries,
+        rate,
+        seconds,
+        runSeed,
+        poisson,
+        workspaces,
+        models,
+        promptWords,
+        answerTokens,
+        wholeShare,
+        chatShare,
+        service,
+        serviceShare,
+        onceShare,
+        requestFile,
+        retries,
+        patienceSeconds,
+        idleSeconds,
+        acceptsRestart,
+        mostAtOnce,
+        serviceAudits,
+        engineAudits,
+        engines,
+        abandonShare,
+        reportFile);
+  }
+
   static OptionParser parser() {
     OptionParser parser = new OptionParser();
     parser.accepts("help", "Prints this help.").forHelp();
--- a/standins/src/main/java/dev/ibishub/standins/StreamReader.java
+++ b/standins/src/main/java/dev/ibishub/standins/StreamReader.java
@@ -94,7 +94,11 @@
 
   private void take(JsonNode json) {
     switch (event) {
-      case "end" -> answer.end(json.path("chunks").asLong(), json.path("resultCode").asInt());
+      case "end" ->
+          answer.end(
+              json.path("chunks").asLong(),
+              json.path("checksum").asLong(),
+              json.path("resultCode").asInt());
       case "restart" -> answer.restart();
       case "error" -> answer.fail(Problem.of(json));
       default -> chunk(json);
--- a/standins/src/main/java/dev/ibishub/standins/StreamedAnswer.java
+++ b/standins/src/main/java/dev/ibishub/standins/StreamedAnswer.java
@@ -1,6 +1,8 @@
 package dev.ibishub.standins;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.zip.CRC32C;
 
 /**
  * A streamed answer as the caller puts it together, over several connections if need be.
@@ -70,7 +72,12 @@
     problem = null;
   }
 
-  synchronized void end(long chunks, int resultCode) {
+  /**
+   * Takes the end.
+   *
+   * @param checksum the entry's CRC-32C over the text of all chunks
+   */
+  synchronized void end(long chunks, long checksum, int resultCode) {
     if (endCode != null) {
       breach("duplicate: a second end");
       return;
@@ -78,6 +85,14 @@
     endCode = resultCode;
     if (resultCode == 0 && chunks != nextChunk) {
       breach("partial: " + nextChunk + " of " + chunks + " chunks");
+    } else if (resultCode == 0 && checksum != checksum()) {
+      breach("corrupted: the checksum differs");
     }
   }
+
+  private long checksum() {
+    CRC32C checksum = new CRC32C();
+    checksum.update(text.toString().getBytes(StandardCharsets.UTF_8));
+    return checksum.getValue();
+  }
 }
--- a/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.zip.CRC32C;
 import joptsimple.OptionSet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -177,7 +178,7 @@
         out -> {
           writeChunks(out, answer(request), 0, to);
           writeChunks(out, answer(request), from, 5);
-          writeEnd(out, 5);
+          writeEnd(out, answer(request));
         });
   }
 
@@ -188,7 +189,7 @@
               if (!whole) {
                 throw new IOException("cut");
               }
-              writeEnd(out, tokens.size());
+              writeEnd(out, tokens);
             })
         .withHeader("Ibishub-Stream", "s1");
   }
@@ -201,9 +202,14 @@
     }
   }
 
-  private static void writeEnd(OutputStream out, int chunks) throws IOException {
-    write(
-        out, "event: end\ndata: {\"chunks\":" + chunks + ",\"resultCode\":0}\n\ndata: [DONE]\n\n");
+  private static void writeEnd(OutputStream out, List<String> tokens) throws IOException {
+    CRC32C checksum = new CRC32C();
+    checksum.update(String.join("", tokens).getBytes(StandardCharsets.UTF_8));
+    String end =
+        String.format(
+            "event: end\ndata: {\"chunks\":%d,\"checksum\":%d,\"resultCode\":0}\n\n",
+            tokens.size(), checksum.getValue());
+    write(out, end + "data: [DONE]\n\n");
   }
 
   private static void write(OutputStream out, String text) throws IOException {
