--- a/core/src/main/java/dev/ibishub/core/GroupLeader.java
+++ b/core/src/main/java/dev/ibishub/core/GroupLeader.java
@@ -325,16 +325,21 @@
   // so where none knows of a commit there is none and never will be, and releasing is safe.
   private void takeStock() {
     incarnation = highestSeenIncarnation;
-    version =
-        Arrays.stream(statuses)
-            .mapToLong(status -> Math.max(status.mapVersion(), status.committedMapVersion()))
-            .max()
-            .orElse(0);
+    // Where every engine started anew nothing runs, and what was committed may be lost with them.
+    boolean allFresh = Arrays.stream(statuses).allMatch(RankStatus::isFresh);
+    version = allFresh ? 0 : newestDecided();
     mender.start(version);
     outbox.clear();
     enter(Phase.MENDING);
   }
 
+  private long newestDecided() {
+    return Arrays.stream(statuses)
+        .mapToLong(status -> Math.max(status.mapVersion(), status.committedMapVersion()))
+        .max()
+        .orElse(0);
+  }
+
   private void decideCommit() {
     version = stagedVersion;
     switches++;
--- a/core/src/main/java/dev/ibishub/core/internal/experts/Mender.java
+++ b/core/src/main/java/dev/ibishub/core/internal/experts/Mender.java
@@ -88,9 +88,9 @@
     if (committed[rank]) {
       return DONE;
     }
-    // The commit that a rank reports may be the agent's memory, which outlives the engine's.
-    boolean engineKnowsCommit = status.committedMapVersion() == version && !status.isFresh();
-    if (status.stagedMapVersion() != version && !engineKnowsCommit) {
+    // The commit that a rank reports may be the agent's memory, which outlives the engine's: only
+    // what is staged tells what the engine has.
+    if (status.stagedMapVersion() != version) {
       return stage(version, maps);
     }
     return commit(status);
--- a/core/src/test/java/dev/ibishub/core/FakeGroup.java
+++ b/core/src/test/java/dev/ibishub/core/FakeGroup.java
@@ -61,6 +61,7 @@
     private final int number;
     long engineStart = ++starts;
     RankGate gate;
+    private boolean agentForgot;
     long step;
     long version;
     long staged;
@@ -78,6 +79,8 @@
 
     void restartAgent() {
       gate = RankGate.create(NAME, number);
+      agentForgot = true;
+      endLostStep();
     }
 
     void restartEngine() {
@@ -88,6 +91,16 @@
       committed = 0;
       committedStep = 0;
       map = new byte[0];
+      endLostStep();
+    }
+
+    // A step that only this rank had begun ends with all memory of it: all begin it anew.
+    private void endLostStep() {
+      long others = ranks.stream().filter(r -> r != this).mapToLong(r -> r.step).max().orElse(step);
+      if (agentForgot && version == 0 && step > others) {
+        mapOfStep.remove(step);
+        step = others;
+      }
     }
 
     RankStatus status() {
@@ -128,6 +141,7 @@
       boolean free = hold == 0 || next < hold;
       if (committed != 0 && next >= committedStep) {
         version = committed;
+        agentForgot = false;
         map = committedMap;
         committed = 0;
         committedStep = 0;
