Refuse early what would run out of time, and measure overload and capacity

Cause: with deadlines of 4 s and callers that try again, work that was let in expired in the agents' queues, so that the p99 of the time to a refusal was 4166 ms at 3 times capacity. Change: the estimated wait counts twice against a deadline (waitMargin); the bench gives work to the agent with the latest start that can still make the deadline; Membership looks for what is overdue at most ten times a second and keeps its choice of links until a member changes; the entry tells its router how many entries there are; bin/bench overload and bin/bench capacity.

--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -1,6 +1,8 @@
 package dev.ibishub.bench;
 
+import dev.ibishub.bench.capacity.CapacityBench;
 import dev.ibishub.bench.fairness.FairnessBench;
+import dev.ibishub.bench.overload.OverloadBench;
 import dev.ibishub.bench.routing.RoutingBench;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -15,7 +17,8 @@
 /** The program behind {@code bin/bench}: runs one bench and writes its report. */
 public final class BenchMain {
   private static final int USAGE = 2;
-  private static final List<Bench> BENCHES = List.of(new FairnessBench(), new RoutingBench());
+  private static final List<Bench> BENCHES =
+      List.of(new FairnessBench(), new RoutingBench(), new OverloadBench(), new CapacityBench());
 
   private BenchMain() {}
 
--- a/bench/src/main/java/dev/ibishub/bench/model/ModelRequest.java
+++ b/bench/src/main/java/dev/ibishub/bench/model/ModelRequest.java
@@ -38,6 +38,18 @@
     this.deadlineAt = deadlineAt;
   }
 
+  /** The same request, sent again. */
+  public ModelRequest again(double seconds, double deadlineSeconds) {
+    return new ModelRequest(
+        id + "'",
+        workspace,
+        weight,
+        new Size(promptTokens, outputTokens, estimatedOutputTokens),
+        prefixHash,
+        seconds,
+        seconds + deadlineSeconds);
+  }
+
   public String id() {
     return id;
   }
--- a/bench/src/main/java/dev/ibishub/bench/model/TargetModel.java
+++ b/bench/src/main/java/dev/ibishub/bench/model/TargetModel.java
@@ -93,6 +93,11 @@
 
   /** Takes a request: it waits until the queue's order and the limit let it start. */
   public void submit(ModelRequest request) {
+    submit(request, request.deadlineAt());
+  }
+
+  /** Takes a request that is given up unless it starts by the given second. */
+  public void submit(ModelRequest request, double startBy) {
     queue.offer(
         new QueuedWork<>(
             request.id(),
@@ -100,7 +105,7 @@
             discipline == Discipline.FAIR ? request.weight() : 1,
             0,
             request.estimatedTokens(),
-            events.instant(request.deadlineAt()),
+            events.instant(startBy),
             request));
     startNext();
   }
--- a/core/src/main/java/dev/ibishub/core/Admission.java
+++ b/core/src/main/java/dev/ibishub/core/Admission.java
@@ -69,9 +69,10 @@
     }
     double wait = waitSeconds(query, standing, now);
     double room = Seconds.between(now, query.deadline()) - query.serviceSeconds();
-    if (wait > room) {
+    if (wait * options.waitMargin() > room) {
       return AdmissionDecision.refused(
-          ResultCode.DEADLINE_UNREACHABLE, Seconds.after(now, wait - Math.max(0, room)));
+          ResultCode.DEADLINE_UNREACHABLE,
+          Seconds.after(now, wait - Math.max(0, room) / options.waitMargin()));
     }
     double longest = longestWait(query.priority());
     if (wait > longest) {
--- a/core/src/main/java/dev/ibishub/core/Membership.java
+++ b/core/src/main/java/dev/ibishub/core/Membership.java
@@ -32,11 +32,14 @@
  */
 public final class Membership {
   private static final double NEWS_SECONDS = 5;
+  private static final double ADVANCE_SECONDS = 0.1;
 
   private final MembershipOptions options;
   private final Map<String, Known> members = new TreeMap<>();
   private MemberRecord self;
   private Optional<Instant> leavingSince = Optional.empty();
+  private Optional<List<MemberRecord>> links = Optional.empty();
+  private Instant advancedAt = Instant.EPOCH;
 
   private Membership(MemberRecord self, MembershipOptions options) {
     this.self = self.withState(MemberState.ALIVE);
@@ -62,7 +65,9 @@
    */
   public synchronized void listed(List<MemberRecord> records, Instant now) {
     Set<String> named = records.stream().map(MemberRecord::id).collect(Collectors.toSet());
-    members.replaceAll((id, known) -> known.listed(named.contains(id)));
+    List.copyOf(members.values()).stream()
+        .filter(known -> known.listed() != named.contains(known.record().id()))
+        .forEach(known -> put(known.record().id(), known.listed(!known.listed())));
     records.stream().filter(this::isOther).forEach(record -> takeListed(record, now));
     advance(now);
   }
@@ -85,7 +90,7 @@
     // A listed leaving process that has never been heard may yet be one that was replaced.
     boolean staysLeaving = !restarted && record.state() == MemberState.LEAVING;
     MemberRecord alive = staysLeaving ? numbered : numbered.withState(MemberState.ALIVE);
-    members.put(id, known.with(alive, now).heard(now));
+    put(id, known.with(alive, now).heard(now));
     advance(now);
   }
 
@@ -103,8 +108,7 @@
     Known missed = known.missed();
     boolean suspect =
         missed.misses() >= options.missesToSuspect() && known.record().state() == MemberState.ALIVE;
-    members.put(
-        id, suspect ? missed.with(missed.record().withState(MemberState.SUSPECT), now) : missed);
+    put(id, suspect ? missed.with(missed.record().withState(MemberState.SUSPECT), now) : missed);
     advance(now);
   }
 
@@ -135,8 +139,10 @@
       leavingSince = leavingSince.or(() -> Optional.of(now));
       return;
     }
-    members.computeIfPresent(
-        id, (name, known) -> known.with(known.record().withState(MemberState.LEAVING), now));
+    Known known = members.get(id);
+    if (known != null) {
+      put(id, known.with(known.record().withState(MemberState.LEAVING), now));
+    }
   }
 
   /**
@@ -207,6 +213,12 @@
    * @return the processes, in no given order
    */
   public synchronized List<MemberRecord> connectTo() {
+    List<MemberRecord> known = links.orElseGet(this::chooseLinks);
+    links = Optional.of(known);
+    return known;
+  }
+
+  private List<MemberRecord> chooseLinks() {
     Stream<MemberRecord> inZone =
         closest(
             options.targetsInZone(),
@@ -221,17 +233,23 @@
   }
 
   private Stream<MemberRecord> closest(int count, Predicate<MemberRecord> filter) {
+    long own = hash(self.id());
     return members.values().stream()
         .filter(known -> known.listed() || known.record().state() != MemberState.DEAD)
         .map(Known::record)
         .filter(filter)
-        .sorted(Comparator.comparingLong(record -> score(record.id())))
-        .limit(count);
+        .map(record -> new Scored(score(own, record.id()), record))
+        .sorted(Comparator.comparingLong(Scored::score))
+        .limit(count)
+        .map(Scored::record);
   }
 
-  private long score(String id) {
-    long own = Hashing.komihash5_0().hashCharsToLong(self.id());
-    return Hashing.komihash5_0().hashLongLongToLong(own, Hashing.komihash5_0().hashCharsToLong(id));
+  private static long score(long own, String id) {
+    return Hashing.komihash5_0().hashLongLongToLong(own, hash(id));
+  }
+
+  private static long hash(String id) {
+    return Hashing.komihash5_0().hashCharsToLong(id);
   }
 
   private Stream<Known> withState(Predicate<MemberRecord> filter) {
@@ -247,16 +265,16 @@
   private void takeListed(MemberRecord record, Instant now) {
     Known known = members.get(record.id());
     if (known == null) {
-      members.put(record.id(), Known.of(record.withNumbers(0, 0), true, now));
+      put(record.id(), Known.of(record.withNumbers(0, 0), true, now));
       return;
     }
     MemberRecord before = known.record();
     boolean moved = before.port() != record.port() || !before.host().equals(record.host());
     boolean silent = before.state() == MemberState.SUSPECT || before.state() == MemberState.DEAD;
     if (moved && silent) {
-      members.put(record.id(), known.with(record.withNumbers(0, 0), now));
+      put(record.id(), known.with(record.withNumbers(0, 0), now));
     } else if (record.state() == MemberState.LEAVING && before.state() == MemberState.ALIVE) {
-      members.put(record.id(), known.with(before.withState(MemberState.LEAVING), now));
+      put(record.id(), known.with(before.withState(MemberState.LEAVING), now));
     }
   }
 
@@ -267,11 +285,11 @@
     }
     Known known = members.get(record.id());
     if (known == null) {
-      members.put(record.id(), Known.of(record, false, now));
+      put(record.id(), Known.of(record, false, now));
     } else if (record.supersedes(known.record())) {
-      members.put(record.id(), known.with(record, now));
+      put(record.id(), known.with(record, now));
     } else if (record.state() == known.record().state()) {
-      members.put(record.id(), known.with(known.record().completedBy(record), now));
+      put(record.id(), known.with(known.record().completedBy(record), now));
     }
   }
 
@@ -287,9 +305,25 @@
     }
   }
 
+  /** A few times a second is enough, and this looks at every member. */
   private void advance(Instant now) {
-    members.replaceAll((id, known) -> isOverdue(known, now) ? dead(known, now) : known);
-    members.values().removeIf(known -> isForgotten(known, now));
+    if (Seconds.between(advancedAt, now) < ADVANCE_SECONDS && !now.isBefore(advancedAt)) {
+      return;
+    }
+    advancedAt = now;
+    List.copyOf(members.values()).stream()
+        .filter(known -> isOverdue(known, now))
+        .forEach(known -> put(known.record().id(), dead(known, now)));
+    if (members.values().removeIf(known -> isForgotten(known, now))) {
+      links = Optional.empty();
+    }
+  }
+
+  private void put(String id, Known known) {
+    Known before = members.put(id, known);
+    if (before == null || !before.hasSameLinkAs(known)) {
+      links = Optional.empty();
+    }
   }
 
   private boolean isOverdue(Known known, Instant now) {
@@ -310,4 +344,6 @@
   private static long turn(Instant now) {
     return now.toEpochMilli() / 100;
   }
+
+  private record Scored(long score, MemberRecord record) {}
 }
--- a/core/src/main/java/dev/ibishub/core/internal/membership/Known.java
+++ b/core/src/main/java/dev/ibishub/core/internal/membership/Known.java
@@ -50,4 +50,14 @@
   public Known listed(boolean nowListed) {
     return new Known(record, changedAt, suspectedAt, heardAt, nowListed, misses);
   }
+
+  /** Whether a link to the member would be made to the same place, or to none, for both. */
+  public boolean hasSameLinkAs(Known other) {
+    return record.host().equals(other.record.host())
+        && record.port() == other.record.port()
+        && record.zone().equals(other.record.zone())
+        && record.state() == other.record.state()
+        && record.incarnation() == other.record.incarnation()
+        && listed == other.listed;
+  }
 }
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -218,6 +218,7 @@
 
   private void tellPeers() {
     membership.setLoad(server.inFlight());
+    router.setEntries(1 + membership.liveEntries().size());
     peers.tellAll();
   }
 
