Keep what a stop, a return or a lost claim holder would have cut off; test the life of a request

Causes found by reading: an agent counted an answer without reader as read and could stop while its caller was on the way to another entry; an entry counted a request as over before its last byte was written; queued work stayed at an agent whose engine hangs; the holder of a claim was only asked if a link to it happened to be open; work handed back by a leaving target used up the retry budget; a fresh entry called itself leaving instead of not ready.

--- a/agent/src/main/java/dev/ibishub/agent/Agent.java
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -116,7 +116,7 @@
   public void drain() {
     Instant deadline = clock.instant().plusSeconds(settings.drainSeconds());
     beginLeaving("stop");
-    while (!runner.isIdle() && clock.instant().isBefore(deadline)) {
+    while (!(runner.isIdle() && links.isFlushed()) && clock.instant().isBefore(deadline)) {
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
     }
     logger.atInfo().log("%s", LogEvent.of("agent.drained").with("complete", runner.isIdle()));
@@ -143,6 +143,7 @@
     every(REPORT_MILLIS, () -> links.sendToAll(reporter.report()));
     every(REPORT_MILLIS, reporter::refreshLoad);
     every(STATE_MILLIS, reporter::refreshState);
+    every(STATE_MILLIS, this::handBackIfUnreachable);
     every(STATE_MILLIS, () -> reporter.refreshCache(links::sendToAll));
     every(LIST_MILLIS, this::readList);
     logger.atInfo().log(
@@ -159,6 +160,16 @@
         && claims.map(ClaimWriter::isReady).orElse(true);
   }
 
+  /**
+   * An engine that hangs while its agent is well would keep what waits until the deadline; the
+   * entries' links stay up, so nothing else would move it.
+   */
+  private void handBackIfUnreachable() {
+    if (!reporter.isReachable()) {
+      runner.handBackQueued(ResultCode.TARGET_UNREACHABLE, "the engine does not answer");
+    }
+  }
+
   private void beginLeaving(String toldBy) {
     if (!runner.isLeaving()) {
       logger.atInfo().log("%s", LogEvent.of("agent.leaving").with("toldBy", toldBy));
--- a/agent/src/main/java/dev/ibishub/agent/AgentLinks.java
+++ b/agent/src/main/java/dev/ibishub/agent/AgentLinks.java
@@ -66,6 +66,11 @@
     runner.linkClosed(link);
   }
 
+  /** Whether nothing waits to be sent any more. */
+  boolean isFlushed() {
+    return open.stream().allMatch(Link::isFlushed);
+  }
+
   void sendToAll(Frame frame) {
     open.forEach(link -> link.offer(frame));
   }
--- a/agent/src/main/java/dev/ibishub/agent/Attempt.java
+++ b/agent/src/main/java/dev/ibishub/agent/Attempt.java
@@ -111,9 +111,16 @@
     return cancelled;
   }
 
-  /** Whether the answer has ended and its reader, if there is one, has been sent all of it. */
-  synchronized boolean isRelayed() {
-    return done.isDone() && (relay == null || relay.isFinished());
+  /**
+   * Whether nobody waits for anything of this attempt any more.
+   *
+   * @param orphanedBefore whoever lost its reader later may yet come back through another entry
+   */
+  synchronized boolean isSettled(Instant orphanedBefore) {
+    if (!done.isDone()) {
+      return false;
+    }
+    return cancelled || (relay == null ? orphanedAt.isBefore(orphanedBefore) : relay.isFinished());
   }
 
   private void withRelay(Consumer<AnswerRelay> action) {
--- a/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
+++ b/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
@@ -154,9 +154,16 @@
   /** From now on refuses new work, and hands back what waits as not run. */
   void beginLeaving() {
     leaving = true;
-    attempts.keySet().stream()
+    handBackQueued(ResultCode.TARGET_LEAVING, "the target is leaving");
+  }
+
+  /** Hands back what waits as not run, so that entries send it elsewhere. */
+  void handBackQueued(ResultCode code, String detail) {
+    attempts.values().stream()
+        .filter(attempt -> !attempt.done().isDone())
+        .map(Attempt::id)
         .filter(id -> table.revoke(id, clock.instant()))
-        .forEach(id -> handBack(id, ResultCode.TARGET_LEAVING, "the target is leaving"));
+        .forEach(id -> handBack(id, code, detail));
   }
 
   /** Takes work again after a drain that was taken back. */
@@ -168,9 +175,10 @@
     return leaving;
   }
 
-  /** Whether nothing waits, runs or is still being sent. */
+  /** Whether nothing waits, runs, is still being sent or may yet be joined again. */
   boolean isIdle() {
-    return attempts.values().stream().allMatch(Attempt::isRelayed);
+    Instant orphanedBefore = clock.instant().minus(options.orphanPatience());
+    return attempts.values().stream().allMatch(attempt -> attempt.isSettled(orphanedBefore));
   }
 
   int queued() {
@@ -333,8 +341,8 @@
   }
 
   private void cancelStarted(Attempt attempt) {
+    attempt.cancel();
     if (!attempt.done().isDone()) {
-      attempt.cancel();
       backend.cancel(attempt);
     }
   }
--- a/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
+++ b/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
@@ -8,6 +8,8 @@
 import dev.ibishub.wire.generated.CacheReport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.TargetReport;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +22,9 @@
  * them; what waits and runs here is as of now. Thread-safe.
  */
 final class TargetReporter {
+  /** An engine that has not answered for this long takes no work. */
+  private static final Duration SILENCE = Duration.ofSeconds(3);
+
   private final AgentSettings settings;
   private final AttemptRunner runner;
   private final Optional<ModelEngine> engine;
@@ -27,6 +32,7 @@
   private final InstantSource clock;
   private final AtomicLong sequence = new AtomicLong();
   private final AtomicLong nextCacheEvent = new AtomicLong();
+  private volatile Instant answeredAt = Instant.EPOCH;
   private volatile Optional<EngineLoad> load = Optional.empty();
   private volatile Optional<EngineState> state = Optional.empty();
 
@@ -54,7 +60,13 @@
   void refreshState() {
     engine.ifPresent(
         present ->
-            present.state().whenComplete((answer, thrown) -> state = Optional.ofNullable(answer)));
+            present
+                .state()
+                .thenAccept(
+                    answer -> {
+                      state = Optional.of(answer);
+                      answeredAt = clock.instant();
+                    }));
   }
 
   /** Asks the engine for cache events and passes them on. */
@@ -74,7 +86,7 @@
 
   /** Whether the target can take work now. */
   boolean isReachable() {
-    return engine.isEmpty() || state.isPresent();
+    return engine.isEmpty() || answeredAt.plus(SILENCE).isAfter(clock.instant());
   }
 
   /** Returns the report of this moment. */
--- a/entry/src/main/java/dev/ibishub/entry/CallerPages.java
+++ b/entry/src/main/java/dev/ibishub/entry/CallerPages.java
@@ -12,8 +12,6 @@
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.Configuration.Service;
 import dev.ibishub.core.Configuration.Workspace;
-import dev.ibishub.core.MemberRecord;
-import dev.ibishub.core.Membership;
 import dev.ibishub.core.Repeatability;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
@@ -62,7 +60,6 @@
   private final Supplier<Configuration> configuration;
   private final Admission admission;
   private final AddressBook addresses;
-  private final Membership membership;
   private final BooleanSupplier serving;
   private final EntryMetrics metrics;
 
@@ -74,7 +71,6 @@
       Supplier<Configuration> configuration,
       Admission admission,
       AddressBook addresses,
-      Membership membership,
       BooleanSupplier serving,
       EntryMetrics metrics) {
     this.settings = settings;
@@ -84,7 +80,6 @@
     this.configuration = configuration;
     this.admission = admission;
     this.addresses = addresses;
-    this.membership = membership;
     this.serving = serving;
     this.metrics = metrics;
   }
@@ -175,22 +170,14 @@
     var origin = origin(exchange, requestId);
     String name = exchange.getRequestURI().getPath().substring(STREAM_PATH.length());
     StreamName stream = StreamName.decode(name);
-    MemberRecord agent =
-        membership
-            .member(stream.target())
-            .orElseThrow(
-                () ->
-                    new ResultException(
-                        ResultCode.STREAM_POSITION_LOST, "the target of this answer is gone"));
     switch (exchange.getRequestMethod()) {
-      case "GET" -> join(exchange, origin, stream, agent);
-      case "DELETE" -> cancel(exchange, origin, stream, agent);
+      case "GET" -> join(exchange, origin, stream);
+      case "DELETE" -> cancel(exchange, origin, stream);
       default -> requireMethod(exchange, "GET or DELETE");
     }
   }
 
-  private void join(
-      HttpExchange exchange, ModelRequests.Origin origin, StreamName stream, MemberRecord agent) {
+  private void join(HttpExchange exchange, ModelRequests.Origin origin, StreamName stream) {
     long from = firstWanted(exchange);
     ModelAnswer form = new ModelAnswer(origin.requestId(), stream.model(), stream.chat());
     Answer answer = new StreamedAnswer(exchange, origin.requestId(), form, from, context.clock());
@@ -210,7 +197,7 @@
         new RequestRunner(context, request, answer, (code, tokens) -> giveBack.run());
     context
         .links()
-        .linkTo(agent)
+        .linkTo(stream.target())
         .whenComplete(
             (link, failure) -> {
               if (failure == null) {
@@ -221,8 +208,7 @@
             });
   }
 
-  private void cancel(
-      HttpExchange exchange, ModelRequests.Origin origin, StreamName stream, MemberRecord agent)
+  private void cancel(HttpExchange exchange, ModelRequests.Origin origin, StreamName stream)
       throws IOException {
     Frame cancel =
         Frame.newBuilder()
@@ -231,7 +217,7 @@
                     .setAttemptId(stream.attemptId())
                     .setCallerWorkspace(origin.workspace().name()))
             .build();
-    context.links().linkTo(agent).thenAccept(link -> link.offer(cancel));
+    context.links().linkTo(stream.target()).thenAccept(link -> link.offer(cancel));
     Http.sendJson(
         exchange,
         ResultCode.ACCEPTED.httpStatus(),
@@ -311,6 +297,11 @@
   }
 
   private void requireServing() {
+    if (configuration.get().revision() == 0) {
+      // A fresh entry that has reached neither the log nor a peer refuses rather than guesses.
+      throw new ResultException(
+          ResultCode.NOT_READY, "no configuration yet", context.clock().instant().plusSeconds(1));
+    }
     if (!serving.getAsBoolean()) {
       throw new ResultException(
           ResultCode.ENTRY_LEAVING,
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -156,6 +156,7 @@
         new RequestContext(
             settings.zone(),
             targets,
+            targets::linkTo,
             router,
             RetryBudget.defaults(),
             clock,
@@ -170,7 +171,6 @@
             configuration::current,
             admission,
             addresses,
-            membership,
             this::isServing,
             metrics)
         .addTo(server);
@@ -209,11 +209,14 @@
   }
 
   private boolean isServing() {
-    return !refusing && configuration.isKnown();
+    return !refusing;
   }
 
   private boolean isReady() {
-    return isServing() && addresses.servesUntil().isEmpty() && targets.openLinks() > 0;
+    return isServing()
+        && configuration.isKnown()
+        && addresses.servesUntil().isEmpty()
+        && targets.openLinks() > 0;
   }
 
   private void tellPeers() {
--- a/entry/src/main/java/dev/ibishub/entry/RequestContext.java
+++ b/entry/src/main/java/dev/ibishub/entry/RequestContext.java
@@ -2,9 +2,12 @@
 
 import dev.ibishub.core.RetryBudget;
 import dev.ibishub.core.Router;
+import dev.ibishub.wire.Link;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 /**
@@ -12,6 +15,7 @@
  *
  * @param zone of this entry
  * @param links to the agents
+ * @param linkTo opens a link to a target, also one that this entry keeps none to
  * @param router chooses targets
  * @param retries bounds attempts beyond the first
  * @param clock the time
@@ -22,6 +26,7 @@
 record RequestContext(
     String zone,
     TargetLinks links,
+    Function<String, CompletableFuture<Link>> linkTo,
     Router router,
     RetryBudget retries,
     InstantSource clock,
--- a/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
+++ b/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
@@ -62,7 +62,6 @@
   private long attemptIncarnation;
   private Instant attemptAt;
   private Instant rejoinUntil;
-  private Optional<ProcessIncarnation> claimHolder = Optional.empty();
   private boolean delivered;
   private boolean ended;
 
@@ -156,7 +155,7 @@
             : context.clock().instant();
     String abandoned = attemptId;
     context.timers().at(giveUpAt, () -> cancel(abandoned));
-    finish(ResultCode.CANCELLED, 0);
+    finish(ResultCode.CANCELLED, 0, () -> {});
   }
 
   private void attempt() {
@@ -176,21 +175,14 @@
   }
 
   private Optional<String> choose(Instant now) {
-    Optional<String> holder = claimHolder.map(ProcessIncarnation::process);
-    claimHolder = Optional.empty();
-    return holder.isPresent()
-        ? holder
-        : context
-            .router()
-            .choose(
-                new RouteQuery(
-                    request.served(),
-                    context.zone(),
-                    request.prefixHash(),
-                    request.estimatedTokens(),
-                    excluded),
-                now,
-                context.random());
+    RouteQuery query =
+        new RouteQuery(
+            request.served(),
+            context.zone(),
+            request.prefixHash(),
+            request.estimatedTokens(),
+            excluded);
+    return context.router().choose(query, now, context.random());
   }
 
   private boolean dispatch(Link link, Instant now) {
@@ -260,7 +252,7 @@
       return;
     }
     excluded.add(target);
-    tryAgain(last == null ? "the answer came damaged" : last.detail());
+    tryAgain(last == null ? "the answer came damaged" : last.detail(), isFree(code));
   }
 
   /**
@@ -268,31 +260,47 @@
    * or runs the call now; if it is gone, nobody will ever know more.
    */
   private void askClaimHolder(ProcessIncarnation holder) {
-    boolean there =
-        context
-            .links()
-            .link(holder.process())
-            .filter(link -> link.peer().incarnation() == holder.incarnation())
-            .isPresent();
-    if (!there || excluded.contains(holder.process())) {
+    if (!excluded.add(holder.process())) {
+      fail(ResultCode.OUTCOME_UNKNOWN, "the agent that claimed this key has lost it");
+      return;
+    }
+    context
+        .linkTo()
+        .apply(holder.process())
+        .whenComplete((link, failure) -> onHolderLinked(holder, failure == null ? link : null));
+  }
+
+  private synchronized void onHolderLinked(ProcessIncarnation holder, Link link) {
+    if (ended) {
+      return;
+    }
+    if (link == null || link.peer().incarnation() != holder.incarnation()) {
       fail(ResultCode.OUTCOME_UNKNOWN, "the agent that claimed this key is gone");
       return;
     }
-    excluded.add(holder.process());
-    claimHolder = Optional.of(holder);
-    attempt();
+    if (!dispatch(link, context.clock().instant())) {
+      conclude("the agent that claimed this key cannot be reached");
+    }
   }
 
   private void attemptLost() {
     tracker.lost(attemptId, ResultCode.TARGET_LOST);
     closeAttempt(true);
     excluded.add(target);
-    tryAgain("the target was lost");
+    tryAgain("the target was lost", false);
+  }
+
+  /**
+   * Work handed back by a target on its way out does not count against the retry budget: the budget
+   * is there against storms on a system that is overloaded, and a nightly upgrade is not one.
+   */
+  private static boolean isFree(ResultCode code) {
+    return code == ResultCode.TARGET_LEAVING;
   }
 
-  private void tryAgain(String detail) {
+  private void tryAgain(String detail, boolean free) {
     Instant now = context.clock().instant();
-    if (!tracker.mayDispatch(now) || !context.retries().tryRetry(now)) {
+    if (!tracker.mayDispatch(now) || !(free || context.retries().tryRetry(now))) {
       conclude(detail);
       return;
     }
@@ -377,8 +385,7 @@
   }
 
   private void succeed(AnswerEnd end) {
-    finish(ResultCode.OK, (double) end.usedTokens());
-    writer.execute(() -> toCaller(() -> answer.succeed(end)));
+    finish(ResultCode.OK, (double) end.usedTokens(), () -> answer.succeed(end));
   }
 
   private void conclude(String detail) {
@@ -386,15 +393,22 @@
   }
 
   private void fail(ResultCode code, String detail) {
-    finish(code, 0);
     ResultException failure = new ResultException(code, detail, retryAt.orElse(null));
-    writer.execute(() -> toCaller(() -> answer.fail(failure)));
+    finish(code, 0, () -> answer.fail(failure));
   }
 
-  private void finish(ResultCode code, double usedTokens) {
+  /**
+   * Ends the request. It counts as in flight until its last byte is written: an entry that stops
+   * when nothing is in flight would else cut off the end of an answer.
+   */
+  private void finish(ResultCode code, double usedTokens, CallerAction lastWrite) {
     ended = true;
     Instant now = context.clock().instant();
-    onFinished.accept(code, usedTokens);
+    writer.execute(
+        () -> {
+          toCaller(lastWrite);
+          onFinished.accept(code, usedTokens);
+        });
     logger.atInfo().log(
         "%s",
         LogEvent.of("request.finished")
--- a/entry/src/main/java/dev/ibishub/entry/TargetLinks.java
+++ b/entry/src/main/java/dev/ibishub/entry/TargetLinks.java
@@ -4,6 +4,8 @@
 import dev.ibishub.core.MemberRecord;
 import dev.ibishub.core.MemberRole;
 import dev.ibishub.core.Membership;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.ResultException;
 import dev.ibishub.core.Router;
 import dev.ibishub.core.TargetStatus;
 import dev.ibishub.runtime.LogEvent;
@@ -72,10 +74,19 @@
   }
 
   /** Returns the link to a target, opened if need be; fails with {@code TARGET_UNREACHABLE}. */
-  CompletableFuture<Link> linkTo(MemberRecord member) {
-    return link(member.id())
+  CompletableFuture<Link> linkTo(String target) {
+    return link(target)
         .map(CompletableFuture::completedFuture)
-        .orElseGet(() -> transport.connect(member.host(), member.port(), this));
+        .orElseGet(
+            () ->
+                membership
+                    .member(target)
+                    .map(member -> transport.connect(member.host(), member.port(), this))
+                    .orElseGet(() -> CompletableFuture.failedFuture(unknown(target))));
+  }
+
+  private static ResultException unknown(String target) {
+    return new ResultException(ResultCode.TARGET_UNREACHABLE, "no VM is known for " + target);
   }
 
   void register(String attemptId, AttemptListener listener) {
--- /dev/null
+++ b/entry/src/test/java/dev/ibishub/entry/FakeAgent.java
@@ -0,0 +1,97 @@
+package dev.ibishub.entry;
+
+import com.google.protobuf.ByteString;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.wire.Link;
+import dev.ibishub.wire.generated.Chunk;
+import dev.ibishub.wire.generated.Dispatch;
+import dev.ibishub.wire.generated.End;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.TargetReport;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/** An agent's end of a link: keeps what the entry sends, and sends what a test tells it. */
+final class FakeAgent {
+  private final TargetLinks links;
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final String target;
+  final Link link;
+
+  FakeAgent(TargetLinks links, String target, long incarnation) {
+    this.links = links;
+    this.target = target;
+    this.link = Link.over(channel, new Link.Peer(target, "agent", "vake", incarnation));
+  }
+
+  /** Opens the link and reports the target as serving. */
+  FakeAgent connect() {
+    links.onOpen(link);
+    send(
+        Frame.newBuilder()
+            .setTargetReport(
+                TargetReport.newBuilder()
+                    .setTarget(target)
+                    .setZone("vake")
+                    .setEngineReachable(true)
+                    .setLimit(16)
+                    .addServed("dictionary"))
+            .build());
+    return this;
+  }
+
+  void die() {
+    channel.close();
+    links.onClose(link);
+  }
+
+  void chunk(String attemptId, long number, String text) {
+    send(
+        Frame.newBuilder()
+            .setChunk(
+                Chunk.newBuilder()
+                    .setAttemptId(attemptId)
+                    .setNumber(number)
+                    .setData(ByteString.copyFromUtf8(text)))
+            .build());
+  }
+
+  /** Ends an attempt whose whole answer is the text. */
+  void finish(String attemptId, long chunks, String whole) {
+    CRC32C checksum = new CRC32C();
+    checksum.update(whole.getBytes(StandardCharsets.UTF_8));
+    end(
+        End.newBuilder()
+            .setAttemptId(attemptId)
+            .setChunkCount(chunks)
+            .setChecksum((int) checksum.getValue())
+            .build());
+  }
+
+  void refuse(String attemptId, ResultCode code) {
+    end(End.newBuilder().setAttemptId(attemptId).setResultCode(code.number()).build());
+  }
+
+  void end(End end) {
+    send(Frame.newBuilder().setEnd(end).build());
+  }
+
+  List<Dispatch> dispatches() {
+    return sent().stream().filter(Frame::hasDispatch).map(Frame::getDispatch).toList();
+  }
+
+  /** The only dispatch's attempt. */
+  String attempt() {
+    return dispatches().get(dispatches().size() - 1).getAttemptId();
+  }
+
+  List<Frame> sent() {
+    return channel.outboundMessages().stream().map(Frame.class::cast).toList();
+  }
+
+  private void send(Frame frame) {
+    links.onFrame(link, frame);
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
@@ -0,0 +1,258 @@
+package dev.ibishub.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.AnswerEnd;
+import dev.ibishub.core.MemberRecord;
+import dev.ibishub.core.MemberRole;
+import dev.ibishub.core.MemberState;
+import dev.ibishub.core.Membership;
+import dev.ibishub.core.MembershipOptions;
+import dev.ibishub.core.ProcessIncarnation;
+import dev.ibishub.core.Repeatability;
+import dev.ibishub.core.ResultCode;
+import dev.ibishub.core.RetryBudget;
+import dev.ibishub.core.Router;
+import dev.ibishub.core.RouterOptions;
+import dev.ibishub.wire.AnswerEnds;
+import dev.ibishub.wire.ClaimHolder;
+import dev.ibishub.wire.generated.Dispatch;
+import dev.ibishub.wire.generated.End;
+import dev.ibishub.wire.generated.Frame;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RequestRunnerTest {
+  private static final Instant START = Instant.parse("2026-03-01T22:00:00Z");
+  private static final Instant DEADLINE = START.plusSeconds(60);
+
+  private Instant now = START;
+  private final List<LaterTask> laterTasks = new ArrayList<>();
+  private final List<ResultCode> finished = new ArrayList<>();
+  private final RecordedAnswer answer = new RecordedAnswer();
+  private final Router router = Router.create(RouterOptions.defaults());
+  private final TargetLinks links =
+      new TargetLinks(
+          null, Membership.create(self(), MembershipOptions.defaults()), router, () -> now);
+  private final RequestContext context =
+      new RequestContext(
+          "vake",
+          links,
+          links::linkTo,
+          router,
+          RetryBudget.create(1, 10),
+          () -> now,
+          (when, task) -> laterTasks.add(new LaterTask(when, task)),
+          Runnable::run,
+          new SplittableRandom(7));
+
+  @Test
+  void answerGoesToTheCallerInOrderAndWhole() {
+    FakeAgent agent = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+
+    agent.chunk(agent.attempt(), 1, "two");
+    agent.chunk(agent.attempt(), 0, "one ");
+    agent.finish(agent.attempt(), 2, "one two");
+
+    assertThat(answer.events).containsExactly("0:one ", "1:two", "end 2");
+    assertThat(finished).containsExactly(ResultCode.OK);
+  }
+
+  /**
+   * An etymology lookup vanishes. Its target dies before the first token; the entry must send the
+   * lookup to another target, and a chunk of the dead attempt that comes late must not show.
+   */
+  @Test
+  void requestWhoseTargetDiesBeforeTheFirstChunkGoesToAnother() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    FakeAgent second = agent("model-2", 1);
+    String lost = first.attempt();
+
+    first.die();
+    second.chunk(lost, 0, "stale");
+    second.chunk(second.attempt(), 0, "fresh");
+    second.finish(second.attempt(), 1, "fresh");
+
+    assertThat(answer.events).containsExactly("0:fresh", "end 1");
+  }
+
+  /**
+   * A caller gets the head of one answer and the tail of another. The target is replaced after half
+   * of a streamed answer; another target would write another text.
+   */
+  @Test
+  void answerThatBrokeHalfwayIsNeverContinuedByAnotherTarget() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    first.chunk(first.attempt(), 0, "half");
+    FakeAgent second = agent("model-2", 1);
+
+    first.die();
+    agent("model-1", 2);
+    passMillis(5_000);
+
+    assertThat(second.dispatches()).isEmpty();
+    assertThat(answer.events).containsExactly("0:half", "failed TARGET_LOST");
+  }
+
+  @Test
+  void answerWhoseLinkBrokeGoesOnFromTheSameRunOfTheAgent() {
+    FakeAgent agent = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    String attempt = agent.attempt();
+    agent.chunk(attempt, 0, "half ");
+
+    agent.die();
+    FakeAgent again = agent("model-1", 1);
+    passMillis(200);
+    assertThat(again.sent())
+        .filteredOn(Frame::hasAttach)
+        .extracting(frame -> frame.getAttach().getFromChunk())
+        .containsExactly(1L);
+    again.chunk(attempt, 1, "whole");
+    again.finish(attempt, 2, "half whole");
+
+    assertThat(answer.events).containsExactly("0:half ", "1:whole", "end 2");
+  }
+
+  @Test
+  void callerThatAcceptsARestartGetsTheWholeAnswerOfAnotherTarget() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, true);
+    first.chunk(first.attempt(), 0, "half");
+    FakeAgent second = agent("model-2", 1);
+
+    first.die();
+    second.chunk(second.attempt(), 0, "all");
+    second.finish(second.attempt(), 1, "all");
+
+    assertThat(answer.events).containsExactly("0:half", "restart", "0:all", "end 1");
+  }
+
+  @Test
+  void workHandedBackByALeavingTargetGoesToAnother() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.ONCE, false);
+    FakeAgent second = agent("model-2", 1);
+
+    first.refuse(first.attempt(), ResultCode.TARGET_LEAVING);
+
+    assertThat(second.dispatches()).hasSize(1);
+  }
+
+  /**
+   * An incentive is posted twice. The target of a call that may not be repeated dies after the
+   * dispatch left; it may have run, so no second attempt may be made and the caller is told so.
+   */
+  @Test
+  void unrepeatableRequestWithoutClaimIsNotSentAgainAfterALoss() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.ONCE, false);
+    FakeAgent second = agent("model-2", 1);
+
+    first.die();
+
+    assertThat(second.dispatches()).isEmpty();
+    assertThat(answer.failedWith).isEqualTo(ResultCode.TARGET_LOST);
+  }
+
+  /**
+   * A caller sends an incentive again with its key and is told "outcome unknown" although it ran
+   * and its answer is kept. Its second try went to another agent than the one that has the claim.
+   */
+  @Test
+  void callClaimedBeforeIsAskedOfTheAgentThatHoldsTheClaim() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.ONCE_BY_CLAIM, true);
+    FakeAgent holder = agent("model-2", 9);
+
+    first.end(heldBy(first.attempt(), new ProcessIncarnation("model-2", 9)));
+    holder.finish(holder.attempt(), 0, "");
+
+    assertThat(answer.events).containsExactly("end 0");
+  }
+
+  @Test
+  void callWhoseClaimHolderWasReplacedHasAnUnknownOutcome() {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.ONCE_BY_CLAIM, true);
+    FakeAgent replaced = agent("model-2", 10);
+
+    first.end(heldBy(first.attempt(), new ProcessIncarnation("model-2", 9)));
+
+    assertThat(replaced.dispatches()).isEmpty();
+    assertThat(answer.failedWith).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+  }
+
+  @Test
+  void requestGivenUpAtItsDeadlineGetsItsFinalAnswerAtOnce() {
+    agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+
+    passMillis(61_000);
+
+    assertThat(answer.failedWith).isEqualTo(ResultCode.DEADLINE_PASSED_RUNNING);
+  }
+
+  @Test
+  void requestWithoutATargetIsRefusedAsNotRun() {
+    start(Repeatability.MAY_BE_REPEATED, false);
+
+    assertThat(answer.failedWith).isEqualTo(ResultCode.NO_TARGET);
+  }
+
+  @Test
+  void damagedAnswerIsNeverGivenAsWhole() {
+    FakeAgent agent = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    agent.chunk(agent.attempt(), 0, "one");
+
+    agent.finish(agent.attempt(), 1, "other");
+
+    assertThat(answer.events).containsExactly("0:one", "failed ANSWER_CORRUPTED");
+  }
+
+  private FakeAgent agent(String target, long incarnation) {
+    return new FakeAgent(links, target, incarnation).connect();
+  }
+
+  private void start(Repeatability repeatability, boolean acceptsRestart) {
+    CallerRequest request =
+        new CallerRequest(
+            "request",
+            "publisher",
+            "dictionary",
+            0,
+            10,
+            DEADLINE,
+            repeatability,
+            acceptsRestart,
+            Dispatch.getDefaultInstance());
+    new RequestRunner(context, request, answer, (code, tokens) -> finished.add(code)).start();
+  }
+
+  private record LaterTask(Instant when, Runnable task) {}
+
+  /** Lets time pass and runs what is due. */
+  private void passMillis(long millis) {
+    now = now.plusMillis(millis);
+    List<LaterTask> due = laterTasks.stream().filter(later -> !later.when().isAfter(now)).toList();
+    laterTasks.removeAll(due);
+    due.forEach(later -> later.task().run());
+  }
+
+  private static End heldBy(String attemptId, ProcessIncarnation holder) {
+    AnswerEnd end = ClaimHolder.end(holder);
+    return AnswerEnds.toWire(attemptId, end);
+  }
+
+  private static MemberRecord self() {
+    return new MemberRecord(
+        "entry-1", MemberRole.ENTRY, "vake", "127.0.0.1", 1, "", 1, 0, MemberState.ALIVE, 0);
+  }
+}
--- a/wire/src/main/java/dev/ibishub/wire/FrameHandler.java
+++ b/wire/src/main/java/dev/ibishub/wire/FrameHandler.java
@@ -119,7 +119,7 @@
   }
 
   private void open(ChannelHandlerContext context, Link.Peer peer) {
-    link = new Link(context.channel(), peer);
+    link = Link.over(context.channel(), peer);
     listener.onOpen(link);
   }
 
--- a/wire/src/main/java/dev/ibishub/wire/Link.java
+++ b/wire/src/main/java/dev/ibishub/wire/Link.java
@@ -20,11 +20,16 @@
   private final Channel channel;
   private final Peer peer;
 
-  Link(Channel channel, Peer peer) {
+  private Link(Channel channel, Peer peer) {
     this.channel = channel;
     this.peer = peer;
   }
 
+  /** Returns a link over a channel whose handshake is over. */
+  public static Link over(Channel channel, Peer peer) {
+    return new Link(channel, peer);
+  }
+
   /** Who stands at the other end. */
   public Peer peer() {
     return peer;
@@ -51,6 +56,11 @@
     return true;
   }
 
+  /** Whether all that was offered has been handed to the operating system. */
+  public boolean isFlushed() {
+    return !channel.isActive() || pendingBytes() == 0;
+  }
+
   /** Closes the link; frames already offered may or may not arrive. */
   public void close() {
     channel.close();
