--- a/agent/src/main/java/dev/ibishub/agent/Agent.java
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -9,13 +9,17 @@
 import dev.ibishub.core.ProcessIncarnation;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.StreamBuffers;
+import dev.ibishub.platform.AppendOnlyLog;
 import dev.ibishub.platform.HttpAppendOnlyLog;
 import dev.ibishub.platform.HttpModelEngine;
 import dev.ibishub.platform.HttpPlainService;
 import dev.ibishub.platform.HttpVirtualMachineList;
+import dev.ibishub.platform.HttpWeightStore;
 import dev.ibishub.platform.ModelEngine;
 import dev.ibishub.platform.PlatformHttp;
 import dev.ibishub.platform.VirtualMachineList;
+import dev.ibishub.platform.WeightReservation;
+import dev.ibishub.platform.WeightStore;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MetricsPage;
 import dev.ibishub.settings.AgentSettings;
@@ -25,8 +29,6 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.GroupCommand;
 import dev.ibishub.wire.generated.GroupReply;
-import dev.ibishub.wire.generated.OrderReply;
-import dev.ibishub.wire.generated.OrderRequest;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -42,6 +44,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
 
 /** One agent process: puts the parts together, starts and stops them. */
 public final class Agent {
@@ -51,6 +54,13 @@
   private static final long STATE_MILLIS = 500;
   private static final long LIST_MILLIS = 2_000;
   private static final int KEPT_ANSWERS = 4_096;
+
+  /** What the weight store is asked for before a model is loaded, bytes. */
+  private static final long MODEL_BYTES = 64L << 20;
+
+  /** How long after a lost answer an order to the engine may still take effect. */
+  private static final Duration SETTLE_FOR = Duration.ofSeconds(2);
+
   private static final Duration ORPHAN_PATIENCE = Duration.ofSeconds(15);
   private static final Duration KEEP_FOR = Duration.ofSeconds(60);
 
@@ -77,8 +87,9 @@
     this.list = HttpVirtualMachineList.create(URI.create(settings.virtualMachineListUrl()), client);
     Optional<ModelEngine> engine =
         settings.engineUrl().map(url -> HttpModelEngine.create(URI.create(url), client));
+    AppendOnlyLog log = HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client);
     this.claims =
-        settings.kind() == Kind.SERVICE ? Optional.of(claimWriter(client)) : Optional.empty();
+        settings.kind() == Kind.SERVICE ? Optional.of(claimWriter(log)) : Optional.empty();
     StreamBuffers buffers = StreamBuffers.create(bufferBytes(settings), KEPT_ANSWERS);
     Backend backend =
         engine
@@ -94,9 +105,16 @@
             clock,
             metrics);
     this.reporter = new TargetReporter(settings, runner, engine, () -> 0, clock);
+    WeightStore weights = weightStore(settings, client);
+    OrderDesk orders =
+        new OrderDesk(
+            runner, orderController(engine, log, weights), this::beginLeaving, this::endLeaving);
     this.links =
         new AgentLinks(
-            runner, this::handleOrder, Agent::refuseGroup, link -> link.offer(reporter.report()));
+            runner,
+            orders::handle,
+            groupCommands(engine, weights),
+            link -> link.offer(reporter.report()));
   }
 
   /**
@@ -188,27 +206,40 @@
                     .forEach(machine -> beginLeaving("virtual-machine-list")));
   }
 
-  private CompletableFuture<OrderReply> handleOrder(OrderRequest order) {
-    switch (order.getKind()) {
-      case "drain" -> beginLeaving(order.getOrderedBy());
-      case "undrain" -> {
-        runner.endLeaving();
-        links.sendToAll(reporter.report());
-      }
-      default -> {
-        return CompletableFuture.completedFuture(
-            reply(order, ResultCode.MALFORMED_REQUEST, "unknown kind " + order.getKind()));
-      }
-    }
-    return CompletableFuture.completedFuture(reply(order, ResultCode.OK, ""));
+  private void endLeaving() {
+    runner.endLeaving();
+    links.sendToAll(reporter.report());
   }
 
-  private static OrderReply reply(OrderRequest order, ResultCode code, String detail) {
-    return OrderReply.newBuilder()
-        .setOrderId(order.getOrderId())
-        .setResultCode(code.number())
-        .setDetail(detail)
-        .build();
+  private Optional<OrderController> orderController(
+      Optional<ModelEngine> engine, AppendOnlyLog log, WeightStore weights) {
+    return engine.map(
+        present ->
+            new OrderController(
+                present,
+                weights,
+                order -> new WeightReservation(order.getModel(), MODEL_BYTES),
+                () -> FencingTokens.highest(log, settings.site(), clock),
+                SETTLE_FOR,
+                clock));
+  }
+
+  /** Takes a leader's commands, if the engine is a rank of a group. */
+  private Function<GroupCommand, CompletableFuture<GroupReply>> groupCommands(
+      Optional<ModelEngine> engine, WeightStore weights) {
+    if (engine.isEmpty() || settings.group().isEmpty()) {
+      return Agent::refuseGroup;
+    }
+    RankController controller =
+        new RankController(
+            engine.get(),
+            weights,
+            command -> new WeightReservation(settings.group().get(), command.getMap().size()),
+            settings.group().get(),
+            settings.rank().orElse(0),
+            SETTLE_FOR,
+            clock);
+    return controller::handle;
   }
 
   private static CompletableFuture<GroupReply> refuseGroup(GroupCommand command) {
@@ -216,13 +247,20 @@
         GroupReply.newBuilder()
             .setGroup(command.getGroup())
             .setSequence(command.getSequence())
-            .setResultCode(ResultCode.NOT_READY.number())
+            .setResultCode(ResultCode.NOT_FOUND.number())
             .build());
   }
 
-  private ClaimWriter claimWriter(HttpClient client) {
+  private static WeightStore weightStore(AgentSettings settings, HttpClient client) {
+    return settings
+        .weightStoreUrl()
+        .<WeightStore>map(url -> HttpWeightStore.create(URI.create(url), client))
+        .orElse((weights, bytes) -> CompletableFuture.completedFuture(null));
+  }
+
+  private ClaimWriter claimWriter(AppendOnlyLog log) {
     return ClaimWriter.start(
-        HttpAppendOnlyLog.create(URI.create(settings.logUrl()), client),
+        log,
         new ProcessIncarnation(settings.targetId(), identity.incarnation()),
         ClaimWriterOptions.defaults(),
         clock,
--- a/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
+++ b/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
@@ -24,6 +24,7 @@
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -43,6 +44,7 @@
   private final AgentMetrics metrics;
   private final RunnerOptions options;
   private final Map<String, Attempt> attempts = new ConcurrentHashMap<>();
+  private final Set<String> closedModels = ConcurrentHashMap.newKeySet();
   private volatile boolean leaving;
 
   /**
@@ -81,6 +83,10 @@
       refuse(link, id, now, ResultCode.TARGET_LEAVING, "the target takes no new work");
       return;
     }
+    if (closedModels.contains(dispatch.getModelCall().getModel())) {
+      refuse(link, id, now, ResultCode.TARGET_LEAVING, "the model is being unloaded here");
+      return;
+    }
     if (queue.size() >= options.maximumQueued()) {
       refuse(link, id, now, ResultCode.OVERLOADED, "the target's queue is full");
       return;
@@ -171,6 +177,22 @@
     leaving = false;
   }
 
+  /** From now on refuses new attempts with a model. */
+  void closeModel(String model) {
+    closedModels.add(model);
+  }
+
+  void openModel(String model) {
+    closedModels.remove(model);
+  }
+
+  /** Whether an attempt with a model waits or runs. */
+  boolean runsModel(String model) {
+    return attempts.values().stream()
+        .filter(attempt -> !attempt.done().isDone())
+        .anyMatch(attempt -> attempt.dispatch().getModelCall().getModel().equals(model));
+  }
+
   boolean isLeaving() {
     return leaving;
   }
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -52,6 +52,7 @@
   private static final double NEWS_SECONDS = 2;
   private static final long CONNECT_MILLIS = 200;
   private static final long TELL_MILLIS = 250;
+  private static final long PLACEMENT_MILLIS = 1_000;
   private static final long LIST_MILLIS = 1_000;
   private static final long DRAIN_POLL_MILLIS = 50;
   private static final Duration PUBLISH_PATIENCE = Duration.ofSeconds(5);
@@ -174,7 +175,12 @@
             this::isServing,
             metrics)
         .addTo(server);
-    new AdminPages(settings, operatorApi()).addTo(server);
+    OrderDesk orders = orderDesk();
+    new AdminPages(settings, operatorApi(orders)).addTo(server);
+    PlacementReconciler placements =
+        new PlacementReconciler(
+            configuration::current, targets::reports, new Rendezvous(membership)::isMine, orders);
+    every(PLACEMENT_MILLIS, placements::tick);
     MetricsPage.addTo(http, metrics.registry(), this::isReady);
     metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
     metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::openLinks);
@@ -195,7 +201,7 @@
             .with("peerPort", membership.self().port()));
   }
 
-  private OperatorApi operatorApi() {
+  private OrderDesk orderDesk() {
     OrderDesk orders = new OrderDesk(targets::link, clock);
     targets.addListener(
         frame -> {
@@ -203,6 +209,10 @@
             orders.onReply(frame.getOrderReply());
           }
         });
+    return orders;
+  }
+
+  private OperatorApi operatorApi(OrderDesk orders) {
     StatusPage status = new StatusPage(configuration, membership, targets, clock);
     return OperatorApi.create(
         configuration, publisher, AuditTrail.on(log), orders, status::json, clock);
