--- a/bin/lib/cluster.sh
+++ b/bin/lib/cluster.sh
@@ -2,6 +2,8 @@
 # processes on loopback, on ports that are free. Sourced, not run.
 
 HOST=127.0.0.1
+# Answers that an engine generates at once.
+BATCH_LIMIT=${BATCH_LIMIT:-32}
 ZONES=(vake saburtalo didube)
 declare -A PIDS PORTS
 
@@ -55,7 +57,7 @@
   local i
   for i in 1 2 3 4; do
     stand_in "engine-$i" engine --served dictionary,coding --step-millis 5 \
-      --batch-limit 32
+      --batch-limit "$BATCH_LIMIT"
   done
   for i in 1 2; do stand_in "service-$i" service; done
   for i in log list weights engine-{1,2,3,4} service-{1,2}; do port_of_stand_in "$i"; done
@@ -100,7 +102,7 @@
 
 model_settings() {
   echo "\"kind\": \"model\", \"engineUrl\": \"http://$HOST:${PORTS[engine-$1]}\"," \
-    "\"weightStoreUrl\": \"http://$HOST:${PORTS[weights]}\", \"maximumConcurrency\": 32"
+    "\"weightStoreUrl\": \"http://$HOST:${PORTS[weights]}\", \"maximumConcurrency\": $BATCH_LIMIT"
 }
 
 service_settings() {
