Append the configuration again before retention takes it

Cause: records live for a limited time; an empty process must be able to learn the configuration from the log at any time. ConfigurationReader.apply takes the time of the append, so ConfigurationHistoryTest passes one; what it checks is the same. Ruled out: one fixed writer, whose loss would lose the configuration.

--- a/core/src/main/java/dev/ibishub/core/ConfigurationReader.java
+++ b/core/src/main/java/dev/ibishub/core/ConfigurationReader.java
@@ -32,6 +32,7 @@
   private boolean anchored = true;
   private boolean known;
   private long divergences;
+  private Instant keptSince = Instant.EPOCH;
 
   /**
    * Bounds of what a reader remembers.
@@ -94,19 +95,23 @@
    * Applies the record at {@link #nextOffset}; others are ignored, as they were applied before.
    *
    * @param offset the record's offset
+   * @param appendedAt when the log took it
    * @param record the record, or empty for bytes that are none, which every release skips
    */
-  public void apply(long offset, Optional<ConfigurationRecord> record) {
+  public void apply(long offset, Instant appendedAt, Optional<ConfigurationRecord> record) {
     if (offset != nextOffset) {
       return;
     }
     nextOffset++;
+    if (offset == 0) {
+      keptSince = appendedAt;
+    }
     record.ifPresent(
         present -> {
           if (present instanceof ConfigurationChange change) {
             applyChange(offset, change);
           } else if (present instanceof ConfigurationSnapshot snapshot) {
-            applySnapshot(offset, snapshot);
+            applySnapshot(offset, appendedAt, snapshot);
           }
         });
     if (anchored) {
@@ -178,6 +183,22 @@
     return anchored;
   }
 
+  /**
+   * Tells whether this reader may append a snapshot: it must be able to name the very offset at
+   * which the snapshot would come.
+   */
+  public boolean maySnapshot() {
+    return anchored && known && stateOffset == nextOffset && nextOffset > 0;
+  }
+
+  /**
+   * Returns when the log took the record from which an empty process could learn the state; the
+   * epoch where this reader has not seen that record.
+   */
+  public Instant keptSince() {
+    return keptSince;
+  }
+
   /** Returns how many snapshots on the log contradicted this reader; more than 0 is a fault. */
   public long divergences() {
     return divergences;
@@ -263,10 +284,11 @@
    * another change come between, a reader that starts at this snapshot would never see that change,
    * which shows as an accepted change that is gone once retention has passed it.
    */
-  private void applySnapshot(long offset, ConfigurationSnapshot snapshot) {
+  private void applySnapshot(long offset, Instant appendedAt, ConfigurationSnapshot snapshot) {
     if (snapshot.nextOffset() != offset || !snapshot.state().isIntact()) {
       return;
     }
+    keptSince = appendedAt;
     if (anchored) {
       divergences += snapshot.state().hash().equals(state.hash()) ? 0 : 1;
       return;
--- a/core/src/test/java/dev/ibishub/core/ConfigurationHistoryTest.java
+++ b/core/src/test/java/dev/ibishub/core/ConfigurationHistoryTest.java
@@ -117,7 +117,7 @@
     private void read(ConfigurationReader reader) {
       if (reader.nextOffset() < log.size()) {
         long offset = reader.nextOffset();
-        reader.apply(offset, Optional.of(log.get((int) offset)));
+        reader.apply(offset, Instant.EPOCH, Optional.of(log.get((int) offset)));
       }
     }
 
--- a/core/src/test/java/dev/ibishub/core/ConfigurationReaderTest.java
+++ b/core/src/test/java/dev/ibishub/core/ConfigurationReaderTest.java
@@ -24,7 +24,7 @@
 
   private static void applyAll(ConfigurationReader to, List<ConfigurationRecord> records) {
     LongStream.range(0, records.size())
-        .forEach(offset -> to.apply(offset, Optional.of(records.get((int) offset))));
+        .forEach(offset -> to.apply(offset, NOW, Optional.of(records.get((int) offset))));
   }
 
   @Test
@@ -82,16 +82,16 @@
     applyAll(reader, List.of(one));
     ConfigurationSnapshot slow = reader.snapshot("slow");
     ConfigurationChange two = change("two", reader.state(), "{\"a\":2}");
-    reader.apply(1, Optional.of(two));
-    reader.apply(2, Optional.of(slow));
+    reader.apply(1, NOW, Optional.of(two));
+    reader.apply(2, NOW, Optional.of(slow));
     ConfigurationSnapshot good = reader.snapshot("good");
-    reader.apply(3, Optional.of(good));
+    reader.apply(3, NOW, Optional.of(good));
 
     ConfigurationReader fresh = reader();
     fresh.skipTo(2);
-    fresh.apply(2, Optional.of(slow));
+    fresh.apply(2, NOW, Optional.of(slow));
     assertThat(fresh.isKnown()).isFalse();
-    fresh.apply(3, Optional.of(good));
+    fresh.apply(3, NOW, Optional.of(good));
 
     assertThat(fresh.state()).isEqualTo(reader.state());
     assertThat(fresh.isAnchored()).isTrue();
@@ -110,10 +110,10 @@
     applyAll(slow, List.of(one));
     applyAll(reader, List.of(one, change("two", slow.state(), "{\"a\":2}")));
     ConfigurationChange late = change("late", slow.state(), "{\"a\":3}");
-    reader.apply(2, Optional.of(late));
+    reader.apply(2, NOW, Optional.of(late));
 
     slow.skipTo(2);
-    slow.apply(2, Optional.of(late));
+    slow.apply(2, NOW, Optional.of(late));
 
     assertThat(slow.state().revision()).isEqualTo(1);
     slow.accept(reader.snapshot("transfer"));
@@ -127,7 +127,7 @@
   void peersInAnyOrderBringTheNewestRevision() {
     applyAll(reader, List.of(change("one", ConfigurationState.initial(), "{\"a\":1}")));
     ConfigurationSnapshot older = reader.snapshot("older");
-    reader.apply(1, Optional.of(change("two", reader.state(), "{\"a\":2}")));
+    reader.apply(1, NOW, Optional.of(change("two", reader.state(), "{\"a\":2}")));
     ConfigurationSnapshot newer = reader.snapshot("newer");
     ConfigurationReader fresh = reader();
     assertThat(fresh.isKnown()).isFalse();
@@ -155,8 +155,8 @@
 
   @Test
   void bytesThatAreNoRecordAreSkipped() {
-    reader.apply(0, Optional.empty());
-    reader.apply(1, Optional.of(change("one", ConfigurationState.initial(), "{\"a\":1}")));
+    reader.apply(0, NOW, Optional.empty());
+    reader.apply(1, NOW, Optional.of(change("one", ConfigurationState.initial(), "{\"a\":1}")));
 
     assertThat(reader.state().revision()).isEqualTo(1);
   }
