--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package dev.ibishub.bench;
 
 import dev.ibishub.bench.capacity.CapacityBench;
+import dev.ibishub.bench.experts.ExpertsBench;
 import dev.ibishub.bench.fairness.FairnessBench;
 import dev.ibishub.bench.membership.MembershipBench;
 import dev.ibishub.bench.overload.OverloadBench;
@@ -24,6 +25,7 @@
           new RoutingBench(),
           new OverloadBench(),
           new MembershipBench(),
+          new ExpertsBench(),
           new CapacityBench());
 
   private BenchMain() {}
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/experts/package-info.java
@@ -0,0 +1,2 @@
+/** The balance of experts over a day of drift. */
+package dev.ibishub.bench.experts;
