Lead groups from the running entries, plan their maps, and audit steps in demo and chaos

Cause: the switch of the expert map and its planner were whole in core, but no process used them. Change: an entry leads the groups that rendezvous gives it, plans every five seconds from what the ranks report, and sends commands only over the link to the agent that lives now. The stand-in engine's map has the core's form, with one slot a rank for replicas. The entry also appends the configuration again before retention takes it.

--- a/bin/lib/cluster.sh
+++ b/bin/lib/cluster.sh
@@ -60,7 +60,14 @@
       --batch-limit "$BATCH_LIMIT"
   done
   for i in 1 2; do stand_in "service-$i" service; done
+  stand_in group engine --group quiz-ranks --ranks 4 --experts 16 --served quiz \
+    --step-millis 5 --drift-seconds 60
   for i in log list weights engine-{1,2,3,4} service-{1,2}; do port_of_stand_in "$i"; done
+  wait_for group "ready .*:([0-9]+)" > /dev/null
+  while [ "$(grep -c '^ready' "$RUN/group.log")" -lt 4 ]; do sleep 0.05; done
+  for i in 0 1 2 3; do
+    PORTS[group-$i]=$(sed -nE "$((i + 1))s/^ready .*:([0-9]+)/\1/p" "$RUN/group.log")
+  done
 }
 
 common_settings() {
@@ -105,6 +112,12 @@
     "\"weightStoreUrl\": \"http://$HOST:${PORTS[weights]}\", \"maximumConcurrency\": $BATCH_LIMIT"
 }
 
+rank_settings() {
+  echo "\"kind\": \"model\", \"engineUrl\": \"http://$HOST:${PORTS[group-$1]}\"," \
+    "\"weightStoreUrl\": \"http://$HOST:${PORTS[weights]}\"," \
+    "\"group\": \"quiz-ranks\", \"rank\": $1, \"maximumConcurrency\": 32"
+}
+
 service_settings() {
   echo "\"kind\": \"service\", \"service\": \"panel\"," \
     "\"serviceUrl\": \"http://$HOST:${PORTS[service-$1]}\""
@@ -114,7 +127,8 @@
   local i
   for i in 1 2 3 4; do start_agent "model-$i" "$i" "$(model_settings "$i")"; done
   for i in 1 2; do start_agent "panel-$i" "$i" "$(service_settings "$i")"; done
-  for i in model-{1,2,3,4} panel-{1,2}; do
+  for i in 0 1 2 3; do start_agent "rank-$i" 1 "$(rank_settings "$i")"; done
+  for i in model-{1,2,3,4} panel-{1,2} rank-{0,1,2,3}; do
     PORTS[$i]=$(wait_for "$i" "event=agent.started port=([0-9]+)")
   done
 }
@@ -141,6 +155,7 @@
   for i in 1 2 3; do machine "entry-$i" entry "$i" "${PORTS[peer-$i]}"; done
   for i in 1 2 3 4; do machine "model-$i" agent "$i" "${PORTS[model-$i]}"; done
   for i in 1 2; do machine "panel-$i" agent "$i" "${PORTS[panel-$i]}"; done
+  for i in 0 1 2 3; do machine "rank-$i" agent 1 "${PORTS[rank-$i]}"; done
   http PUT "${PORTS[list]}" /control/virtual-machines "[$machines]"
 }
 
@@ -148,16 +163,21 @@
   echo "http://$HOST:${PORTS[entry-1]},http://$HOST:${PORTS[entry-2]},http://$HOST:${PORTS[entry-3]}"
 }
 
-# wait_ready ENTRY_NUMBER: until the entry has a configuration and links to all six agents.
+# wait_ready ENTRY_NUMBER: until the entry has a configuration and links to all ten agents.
 wait_ready() {
   local tries=0
-  until http GET "${PORTS[entry-$1]}" /metrics | grep -q '^ibishub_entry_targets 6'; do
+  until http GET "${PORTS[entry-$1]}" /metrics | grep -q '^ibishub_entry_targets 10'; do
     tries=$((tries + 1))
     [ "$tries" -lt 200 ] || { echo "cluster: entry-$1 has not linked all targets" >&2; return 1; }
     sleep 0.1
   done
 }
 
+# mixed_steps: how many steps of the group used two maps, by the engine's own record.
+mixed_steps() {
+  http GET "${PORTS[group-0]}" /control/group | sed -n 's/.*"mixedStepCount":\([0-9]*\).*/\1/p'
+}
+
 # stop_all: ends every process that was started here, by its id, and nothing else.
 stop_all() {
   local name
--- a/entry/src/main/java/dev/ibishub/entry/Answer.java
+++ b/entry/src/main/java/dev/ibishub/entry/Answer.java
@@ -24,6 +24,9 @@
     return false;
   }
 
+  /** Sends what was taken so far; called when no further piece waits. */
+  default void flush() throws IOException {}
+
   /** Says that all pieces so far are void, as another attempt begins. */
   void restart() throws IOException;
 
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -17,6 +17,7 @@
 import dev.ibishub.platform.AuditTrail;
 import dev.ibishub.platform.ConfigurationFollower;
 import dev.ibishub.platform.ConfigurationPublisher;
+import dev.ibishub.platform.ConfigurationSnapshots;
 import dev.ibishub.platform.HttpAppendOnlyLog;
 import dev.ibishub.platform.HttpVirtualMachineList;
 import dev.ibishub.platform.OperatorApi;
@@ -53,6 +54,8 @@
   private static final long CONNECT_MILLIS = 200;
   private static final long TELL_MILLIS = 250;
   private static final long PLACEMENT_MILLIS = 1_000;
+  private static final long LEAD_MILLIS = 20;
+  private static final long SNAPSHOT_MILLIS = 2_000;
   private static final long LIST_MILLIS = 1_000;
   private static final long DRAIN_POLL_MILLIS = 50;
   private static final Duration PUBLISH_PATIENCE = Duration.ofSeconds(5);
@@ -153,6 +156,35 @@
   private void open() {
     configuration.addListener(workspaces::use);
     configuration.start();
+    OrderDesk orders = orderDesk();
+    addPages(orders);
+    every(LIST_MILLIS, this::readList);
+    every(CONNECT_MILLIS, targets::connectAll);
+    every(CONNECT_MILLIS, peers::connectAll);
+    every(TELL_MILLIS, this::tellPeers);
+    startOwnDuties(orders);
+    http.start();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("entry.started")
+            .with("callerPort", http.getAddress().getPort())
+            .with("peerPort", membership.self().port()));
+  }
+
+  private void addPages(OrderDesk orders) {
+    callerPages().addTo(server);
+    new AdminPages(settings, operatorApi(orders)).addTo(server);
+    MetricsPage.addTo(http, metrics.registry(), this::isReady);
+    metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
+    metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::openLinks);
+    metrics.gauge("ibishub_entry_peers", "Links to other entries.", peers::openLinks);
+    metrics.gauge(
+        "ibishub_entry_configuration_revision",
+        "Revision in force here.",
+        () -> configuration.current().revision());
+  }
+
+  private CallerPages callerPages() {
     RequestContext context =
         new RequestContext(
             settings.zone(),
@@ -164,41 +196,43 @@
             this::at,
             threads,
             () -> ThreadLocalRandom.current().nextLong());
-    new CallerPages(
-            settings,
-            context,
-            server,
-            workspaces,
-            configuration::current,
-            admission,
-            addresses,
-            this::isServing,
-            metrics)
-        .addTo(server);
-    OrderDesk orders = orderDesk();
-    new AdminPages(settings, operatorApi(orders)).addTo(server);
+    return new CallerPages(
+        settings,
+        context,
+        server,
+        workspaces,
+        configuration::current,
+        admission,
+        addresses,
+        this::isServing,
+        metrics);
+  }
+
+  /** What one entry does for all; views may differ, so each duty does no harm when done twice. */
+  private void startOwnDuties(OrderDesk orders) {
+    Rendezvous rendezvous = new Rendezvous(membership);
     PlacementReconciler placements =
         new PlacementReconciler(
-            configuration::current, targets::reports, new Rendezvous(membership)::isMine, orders);
+            configuration::current, targets::reports, rendezvous::isMine, orders);
     every(PLACEMENT_MILLIS, placements::tick);
-    MetricsPage.addTo(http, metrics.registry(), this::isReady);
-    metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
-    metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::openLinks);
-    metrics.gauge("ibishub_entry_peers", "Links to other entries.", peers::openLinks);
-    metrics.gauge(
-        "ibishub_entry_configuration_revision",
-        "Revision in force here.",
-        () -> configuration.current().revision());
-    every(LIST_MILLIS, this::readList);
-    every(CONNECT_MILLIS, targets::connectAll);
-    every(CONNECT_MILLIS, peers::connectAll);
-    every(TELL_MILLIS, this::tellPeers);
-    http.start();
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of("entry.started")
-            .with("callerPort", http.getAddress().getPort())
-            .with("peerPort", membership.self().port()));
+    GroupLeads leads =
+        new GroupLeads(
+            configuration::current,
+            targets,
+            rendezvous::isMine,
+            ExpertBalancer::new,
+            membership.self().incarnation(),
+            clock);
+    targets.addListener(leads::onFrame);
+    every(LEAD_MILLIS, leads::tick);
+    ConfigurationSnapshots snapshots =
+        ConfigurationSnapshots.create(
+            log,
+            configuration,
+            settings.processId(),
+            () -> membership.liveEntries().stream().map(MemberRecord::id).toList(),
+            Duration.ofSeconds(settings.logRetentionSeconds()));
+    every(SNAPSHOT_MILLIS, snapshots::appendIfDue);
   }
 
   private OrderDesk orderDesk() {
--- /dev/null
+++ b/entry/src/main/java/dev/ibishub/entry/GroupLeads.java
@@ -0,0 +1,108 @@
+package dev.ibishub.entry;
+
+import dev.ibishub.core.Configuration;
+import dev.ibishub.core.Configuration.Group;
+import dev.ibishub.core.GroupLeaderOptions;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.GroupCommand;
+import dev.ibishub.wire.generated.GroupReply;
+import dev.ibishub.wire.generated.TargetReport;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/** The groups that this entry may lead, each by its own controller. Thread-safe. */
+final class GroupLeads {
+  private static final Duration PLAN_EVERY = Duration.ofSeconds(5);
+
+  private final Supplier<Configuration> configuration;
+  private final TargetLinks links;
+  private final Predicate<String> isMine;
+  private final Function<Group, GroupController.Planner> planners;
+  private final long processIncarnation;
+  private final InstantSource clock;
+  private final Map<String, GroupController> controllers = new ConcurrentHashMap<>();
+  private volatile Map<String, Map<Integer, String>> targetsByGroup = Map.of();
+
+  GroupLeads(
+      Supplier<Configuration> configuration,
+      TargetLinks links,
+      Predicate<String> isMine,
+      Function<Group, GroupController.Planner> planners,
+      long processIncarnation,
+      InstantSource clock) {
+    this.configuration = configuration;
+    this.links = links;
+    this.isMine = isMine;
+    this.planners = planners;
+    this.processIncarnation = processIncarnation;
+    this.clock = clock;
+  }
+
+  /** Takes up, goes on with and lays down leads. */
+  void tick() {
+    targetsByGroup = targetsByGroup();
+    Map<String, Group> groups = configuration.get().groups();
+    controllers.keySet().retainAll(groups.keySet());
+    groups
+        .values()
+        .forEach(
+            group -> controllers.computeIfAbsent(group.name(), key -> controller(group)).tick());
+  }
+
+  /** Takes a rank's reply; other frames are ignored. */
+  void onFrame(Frame frame) {
+    if (frame.hasGroupReply()) {
+      GroupReply reply = frame.getGroupReply();
+      Optional.ofNullable(controllers.get(reply.getGroup()))
+          .ifPresent(controller -> controller.onReply(reply));
+    }
+  }
+
+  private GroupController controller(Group group) {
+    return new GroupController(
+        group.name(),
+        group.ranks(),
+        processIncarnation,
+        GroupLeaderOptions.defaults(),
+        () -> isChosen(group),
+        (rank, command) -> send(group.name(), rank, command),
+        planners.apply(group),
+        PLAN_EVERY,
+        clock);
+  }
+
+  private boolean isChosen(Group group) {
+    return ranksOf(group.name()).size() == group.ranks() && isMine.test("group:" + group.name());
+  }
+
+  private void send(String group, int rank, GroupCommand command) {
+    Optional.ofNullable(ranksOf(group).get(rank))
+        .flatMap(links::link)
+        .ifPresent(link -> link.offer(Frame.newBuilder().setGroupCommand(command).build()));
+  }
+
+  private Map<Integer, String> ranksOf(String group) {
+    return targetsByGroup.getOrDefault(group, Map.of());
+  }
+
+  private Map<String, Map<Integer, String>> targetsByGroup() {
+    return links
+        .reports()
+        .filter(report -> !report.getGroup().isEmpty())
+        .collect(
+            Collectors.groupingBy(
+                TargetReport::getGroup,
+                Collectors.toMap(
+                    TargetReport::getRank,
+                    TargetReport::getTarget,
+                    // While a rank's VM is replaced both may be linked; the greater name is stable.
+                    (one, other) -> one.compareTo(other) > 0 ? one : other)));
+  }
+}
--- a/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
+++ b/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
@@ -57,6 +57,7 @@
   private int attemptCount;
   private String attemptId = "";
   private String target = "";
+  private String streamName = "";
   private AnswerAssembler assembler;
   private AnswerEnd lastEnd;
   private long attemptIncarnation;
@@ -209,6 +210,7 @@
     attemptIncarnation = link.peer().incarnation();
     attemptAt = context.clock().instant();
     assembler = AnswerAssembler.forAttempt(id, ASSEMBLER_WINDOW);
+    streamName = context.streamName(request, target, id);
     lastEnd = null;
     tracker.dispatched(id, attemptIncarnation);
     context.links().register(id, this);
@@ -218,9 +220,8 @@
     long first = assembler.nextNumber();
     List<byte[]> released =
         assembler.accept(chunk.getAttemptId(), chunk.getNumber(), chunk.getData().toByteArray());
-    String stream = context.streamName(request, target, attemptId);
     for (int i = 0; i < released.size(); i++) {
-      write(link, stream, first + i, released.get(i));
+      write(link, streamName, first + i, released.get(i));
     }
     if (!released.isEmpty()) {
       tracker.delivered();
@@ -374,7 +375,13 @@
     String ofAttempt = attemptId;
     writer.execute(
         () -> {
-          toCaller(() -> answer.piece(stream, number, data));
+          toCaller(
+              () -> {
+                answer.piece(stream, number, data);
+                if (!writer.hasWaiting()) {
+                  answer.flush();
+                }
+              });
           if ((number + 1) % CREDIT_BATCH == 0) {
             link.offer(
                 Frame.newBuilder()
--- a/entry/src/main/java/dev/ibishub/entry/SerialExecutor.java
+++ b/entry/src/main/java/dev/ibishub/entry/SerialExecutor.java
@@ -26,6 +26,11 @@
     threads.execute(this::runAll);
   }
 
+  /** Whether another task waits behind the one that runs. */
+  synchronized boolean hasWaiting() {
+    return !waiting.isEmpty();
+  }
+
   private void runAll() {
     Runnable next = next();
     while (next != null) {
--- a/entry/src/main/java/dev/ibishub/entry/StreamedAnswer.java
+++ b/entry/src/main/java/dev/ibishub/entry/StreamedAnswer.java
@@ -46,7 +46,12 @@
       return;
     }
     String chunk = form.chunk(new String(data, StandardCharsets.UTF_8)).toString();
-    write("id: " + number + "\ndata: " + chunk + "\n\n");
+    append("id: " + number + "\ndata: " + chunk + "\n\n");
+  }
+
+  @Override
+  public void flush() throws IOException {
+    out.flush();
   }
 
   @Override
@@ -96,7 +101,11 @@
   }
 
   private void write(String event) throws IOException {
-    out.write(event.getBytes(StandardCharsets.UTF_8));
+    append(event);
     out.flush();
   }
+
+  private void append(String event) throws IOException {
+    out.write(event.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
@@ -1,5 +1,6 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.core.ExpertMap;
 import dev.ibishub.platform.CacheEvents;
 import dev.ibishub.platform.EngineLoad;
 import dev.ibishub.platform.EngineOrder;
@@ -56,9 +57,8 @@
   private EngineGroup(EngineOptions options, List<FaultSwitch> faults) {
     this.options = options;
     this.faults = List.copyOf(faults);
-    byte[] firstMap = new byte[options.experts()];
-    IntStream.range(0, firstMap.length)
-        .forEach(expert -> firstMap[expert] = (byte) (expert % options.ranks()));
+    byte[] firstMap =
+        ExpertMap.inTurn(1, options.ranks(), slots(options), options.experts()).toBytes();
     this.ranks =
         IntStream.range(0, options.ranks())
             .mapToObj(rank -> new RankMap(firstMap, options.checksFencing()))
@@ -258,19 +258,37 @@
   }
 
   private double partMillis(int rank, List<Double> shares) {
-    byte[] map = ranks.get(rank).map().map();
-    double share =
-        IntStream.range(0, map.length)
-                .filter(slot -> map[slot] == rank)
-                .mapToDouble(slot -> shares.get(slot % shares.size()))
-                .sum()
-            / Math.max(1, map.length / shares.size());
-    double even = map.length == 0 ? 1 : share * ranks.size();
+    double even = shareOf(rank, shares) * ranks.size();
     Faults rankFaults = faults.get(rank).current();
     double factor = rankFaults.slowFactor() > 0 ? rankFaults.slowFactor() : 1;
     return options.stepMillis() * factor * (1 - EXPERT_SHARE_OF_STEP + EXPERT_SHARE_OF_STEP * even);
   }
 
+  /** This rank's share of the tokens: replicas of an expert share its tokens evenly. */
+  private double shareOf(int rank, List<Double> shares) {
+    byte[] bytes = ranks.get(rank).map().map();
+    int slots = slots(options);
+    if (bytes.length != 2 * ranks.size() * slots) {
+      return 1.0 / ranks.size();
+    }
+    ExpertMap map = ExpertMap.fromBytes(1, ranks.size(), slots, bytes);
+    int[] replicas = new int[shares.size()];
+    for (int holder = 0; holder < ranks.size(); holder++) {
+      for (int slot = 0; slot < map.slots(); slot++) {
+        replicas[map.expert(0, holder, slot)]++;
+      }
+    }
+    return IntStream.range(0, map.slots())
+        .map(slot -> map.expert(0, rank, slot))
+        .mapToDouble(expert -> shares.get(expert) / replicas[expert])
+        .sum();
+  }
+
+  /** One slot a rank more than the experts need, for replicas. */
+  private static int slots(EngineOptions options) {
+    return (options.experts() + options.ranks() - 1) / options.ranks() + 1;
+  }
+
   private static void sleepUntil(long due) throws InterruptedException {
     long left = due - System.nanoTime();
     if (left > 0) {
