--- a/wire/src/main/java/dev/ibishub/wire/WireTransport.java
+++ b/wire/src/main/java/dev/ibishub/wire/WireTransport.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
@@ -46,6 +47,7 @@
   /** A longer frame closes the link, so that no peer can make this process fill its memory. */
   static final int MAXIMUM_FRAME_BYTES = 16 << 20;
 
+  private static final int MOST_FLUSHES_HELD = 64;
   private static final int LENGTH_BYTES = 4;
   private static final int IO_THREADS = 4;
 
@@ -145,6 +147,8 @@
             .pipeline()
             .addLast(
                 new IdleStateHandler(SILENCE_MILLIS, HEARTBEAT_MILLIS, 0, TimeUnit.MILLISECONDS))
+            // Many small frames leave at once under load; one system call then carries them all.
+            .addLast(new FlushConsolidationHandler(MOST_FLUSHES_HELD, true))
             .addLast(
                 new LengthFieldBasedFrameDecoder(
                     MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
