--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package dev.ibishub.bench;
 
 import dev.ibishub.bench.capacity.CapacityBench;
+import dev.ibishub.bench.claims.ClaimsBench;
 import dev.ibishub.bench.experts.ExpertsBench;
 import dev.ibishub.bench.fairness.FairnessBench;
 import dev.ibishub.bench.membership.MembershipBench;
@@ -21,6 +22,7 @@
   private static final int USAGE = 2;
   private static final List<Bench> BENCHES =
       List.of(
+          new ClaimsBench(),
           new FairnessBench(),
           new RoutingBench(),
           new OverloadBench(),
--- /dev/null
+++ b/bench/src/main/java/dev/ibishub/bench/claims/package-info.java
@@ -0,0 +1,2 @@
+/** What claiming a call on the log costs. */
+package dev.ibishub.bench.claims;
