Say not run only of attempts that the table never took; report idle targets once a second

Causes: a late duplicate at a leaving or full agent, after the attempt was forgotten, was told not run although it may have run (found by reading; a connection delivers no frame twice, so nothing triggers it today).

--- a/agent/src/main/java/dev/ibishub/agent/Agent.java
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -50,7 +50,8 @@
 public final class Agent {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long REPORT_MILLIS = 100;
-  private static final long TICK_MILLIS = 20;
+  private static final long IDLE_REPORT_MILLIS = 1_000;
+  private static final long TICK_MILLIS = 50;
   private static final long STATE_MILLIS = 500;
   private static final long LIST_MILLIS = 2_000;
   private static final int KEPT_ANSWERS = 4_096;
@@ -76,6 +77,7 @@
   private final AttemptRunner runner;
   private final AgentLinks links;
   private final TargetReporter reporter;
+  private volatile Instant reportAt = Instant.EPOCH;
 
   private Agent(AgentSettings settings, Optional<TlsContexts> tls) {
     this.settings = settings;
@@ -158,8 +160,7 @@
     metrics.gauge("ibishub_agent_running", "Attempts that run.", runner::running);
     metrics.gauge("ibishub_agent_limit", "Attempts that may run at once.", runner::limit);
     every(TICK_MILLIS, runner::tick);
-    every(REPORT_MILLIS, () -> links.sendToAll(reporter.report()));
-    every(REPORT_MILLIS, reporter::refreshLoad);
+    every(REPORT_MILLIS, this::reportIfDue);
     every(STATE_MILLIS, reporter::refreshState);
     every(STATE_MILLIS, this::handBackIfUnreachable);
     every(STATE_MILLIS, () -> reporter.refreshCache(links::sendToAll));
@@ -178,6 +179,18 @@
         && claims.map(ClaimWriter::isReady).orElse(true);
   }
 
+  /** Reports ten times a second while there is work, once a second while there is none. */
+  private void reportIfDue() {
+    Instant now = clock.instant();
+    boolean busy = runner.running() > 0 || runner.queued() > 0;
+    if (!busy && now.isBefore(reportAt)) {
+      return;
+    }
+    reportAt = now.plusMillis(IDLE_REPORT_MILLIS);
+    reporter.refreshLoad();
+    links.sendToAll(reporter.report());
+  }
+
   /**
    * An engine that hangs while its agent is well would keep what waits until the deadline; the
    * entries' links stay up, so nothing else would move it.
--- a/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
+++ b/agent/src/main/java/dev/ibishub/agent/AttemptRunner.java
@@ -5,6 +5,7 @@
 import dev.ibishub.core.AttemptTable;
 import dev.ibishub.core.ConcurrencyLimit;
 import dev.ibishub.core.FairQueue;
+import dev.ibishub.core.OfferResult;
 import dev.ibishub.core.QueuedWork;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
@@ -80,15 +81,15 @@
     String id = dispatch.getAttemptId();
     Instant deadline = Instant.ofEpochMilli(dispatch.getDeadlineMillis());
     if (leaving) {
-      refuse(link, id, now, ResultCode.TARGET_LEAVING, "the target takes no new work");
+      refuse(link, dispatch, now, ResultCode.TARGET_LEAVING, "the target takes no new work");
       return;
     }
     if (closedModels.contains(dispatch.getModelCall().getModel())) {
-      refuse(link, id, now, ResultCode.TARGET_LEAVING, "the model is being unloaded here");
+      refuse(link, dispatch, now, ResultCode.TARGET_LEAVING, "the model is being unloaded here");
       return;
     }
     if (queue.size() >= options.maximumQueued()) {
-      refuse(link, id, now, ResultCode.OVERLOADED, "the target's queue is full");
+      refuse(link, dispatch, now, ResultCode.OVERLOADED, "the target's queue is full");
       return;
     }
     switch (table.offer(id, deadline, now)) {
@@ -369,14 +370,19 @@
     }
   }
 
-  /** Refuses an attempt and sees to it that a late duplicate of it is refused too. */
-  private void refuse(Link link, String attemptId, Instant now, ResultCode code, String detail) {
-    if (!table.revoke(attemptId, now)) {
-      // The same attempt was taken before and has started: its own end is the answer.
+  /**
+   * Refuses an attempt, and sees to it that a late duplicate of it is refused too. It is offered to
+   * the table first: that knows an attempt which was taken before, and one whose deadline has
+   * passed, and of neither may "not run" be said here, as it may have run.
+   */
+  private void refuse(Link link, Dispatch dispatch, Instant now, ResultCode code, String detail) {
+    String id = dispatch.getAttemptId();
+    Instant deadline = Instant.ofEpochMilli(dispatch.getDeadlineMillis());
+    if (table.offer(id, deadline, now) != OfferResult.QUEUED || !table.revoke(id, now)) {
       return;
     }
     metrics.handedBack(code);
-    answer(link, attemptId, code, detail);
+    answer(link, id, code, detail);
   }
 
   private void answer(Link link, String attemptId, ResultCode code, String detail) {
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -54,7 +54,7 @@
   private static final long CONNECT_MILLIS = 200;
   private static final long TELL_MILLIS = 250;
   private static final long PLACEMENT_MILLIS = 1_000;
-  private static final long LEAD_MILLIS = 20;
+  private static final long LEAD_MILLIS = 50;
   private static final long SNAPSHOT_MILLIS = 2_000;
   private static final long LIST_MILLIS = 1_000;
   private static final long DRAIN_POLL_MILLIS = 50;
