--- a/agent/src/main/java/dev/ibishub/agent/ClaimBucket.java
+++ b/agent/src/main/java/dev/ibishub/agent/ClaimBucket.java
@@ -1,6 +1,9 @@
 package dev.ibishub.agent;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.backends.AppendOnlyLog;
+import dev.ibishub.backends.LogPage;
+import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ClaimKey;
 import dev.ibishub.core.ClaimLedger;
 import dev.ibishub.core.ClaimRecord;
@@ -9,9 +12,6 @@
 import dev.ibishub.core.ProcessIncarnation;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.AppendOnlyLog;
-import dev.ibishub.platform.LogPage;
-import dev.ibishub.platform.LogRecord;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
--- a/agent/src/main/java/dev/ibishub/agent/OrderController.java
+++ b/agent/src/main/java/dev/ibishub/agent/OrderController.java
@@ -1,12 +1,12 @@
 package dev.ibishub.agent;
 
+import dev.ibishub.backends.EngineOrder;
+import dev.ibishub.backends.EngineState;
+import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.backends.WeightReservation;
+import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.OrderGate;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.platform.EngineOrder;
-import dev.ibishub.platform.EngineState;
-import dev.ibishub.platform.ModelEngine;
-import dev.ibishub.platform.WeightReservation;
-import dev.ibishub.platform.WeightStore;
 import dev.ibishub.wire.generated.OrderReply;
 import dev.ibishub.wire.generated.OrderRequest;
 import java.time.Duration;
--- a/agent/src/main/java/dev/ibishub/agent/ServiceBackend.java
+++ b/agent/src/main/java/dev/ibishub/agent/ServiceBackend.java
@@ -1,5 +1,8 @@
 package dev.ibishub.agent;
 
+import dev.ibishub.backends.PlainService;
+import dev.ibishub.backends.ServiceAnswer;
+import dev.ibishub.backends.ServiceRequest;
 import dev.ibishub.core.AnswerEnd;
 import dev.ibishub.core.ClaimRequest;
 import dev.ibishub.core.ClaimResult;
@@ -10,9 +13,6 @@
 import dev.ibishub.core.ResultException;
 import dev.ibishub.core.StreamBuffer;
 import dev.ibishub.core.StreamBuffers;
-import dev.ibishub.platform.PlainService;
-import dev.ibishub.platform.ServiceAnswer;
-import dev.ibishub.platform.ServiceRequest;
 import dev.ibishub.wire.AnswerEnds;
 import dev.ibishub.wire.ClaimHolder;
 import dev.ibishub.wire.generated.ServiceCall;
--- a/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
+++ b/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
@@ -1,9 +1,9 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.platform.CacheEvents;
-import dev.ibishub.platform.EngineLoad;
-import dev.ibishub.platform.EngineState;
-import dev.ibishub.platform.ModelEngine;
+import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.backends.EngineLoad;
+import dev.ibishub.backends.EngineState;
+import dev.ibishub.backends.ModelEngine;
 import dev.ibishub.settings.AgentSettings;
 import dev.ibishub.wire.generated.CacheReport;
 import dev.ibishub.wire.generated.Frame;
--- a/agent/src/main/java/dev/ibishub/agent/WeightGate.java
+++ b/agent/src/main/java/dev/ibishub/agent/WeightGate.java
@@ -1,9 +1,9 @@
 package dev.ibishub.agent;
 
+import dev.ibishub.backends.WeightReservation;
+import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.WeightReservation;
-import dev.ibishub.platform.WeightStore;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
--- a/agent/src/test/java/dev/ibishub/agent/FakeLog.java
+++ b/agent/src/test/java/dev/ibishub/agent/FakeLog.java
@@ -1,10 +1,10 @@
 package dev.ibishub.agent;
 
+import dev.ibishub.backends.AppendOnlyLog;
+import dev.ibishub.backends.LogPage;
+import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.AppendOnlyLog;
-import dev.ibishub.platform.LogPage;
-import dev.ibishub.platform.LogRecord;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
--- a/agent/src/test/java/dev/ibishub/agent/FakeOrderedEngine.java
+++ b/agent/src/test/java/dev/ibishub/agent/FakeOrderedEngine.java
@@ -1,17 +1,17 @@
 package dev.ibishub.agent;
 
+import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.backends.EngineLoad;
+import dev.ibishub.backends.EngineOrder;
+import dev.ibishub.backends.EngineState;
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.GenerationEnd;
+import dev.ibishub.backends.GenerationListener;
+import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.backends.RankOrder;
+import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.CacheEvents;
-import dev.ibishub.platform.EngineLoad;
-import dev.ibishub.platform.EngineOrder;
-import dev.ibishub.platform.EngineState;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.GenerationEnd;
-import dev.ibishub.platform.GenerationListener;
-import dev.ibishub.platform.ModelEngine;
-import dev.ibishub.platform.RankOrder;
-import dev.ibishub.platform.RankState;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/dev/ibishub/platform/AppendOnlyLog.java
+++ b/backends/src/main/java/dev/ibishub/backends/AppendOnlyLog.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/dev/ibishub/platform/ConfigurationDifference.java
+++ b/backends/src/main/java/dev/ibishub/backends/ConfigurationDifference.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/platform/src/main/java/dev/ibishub/platform/ConfigurationFollower.java
+++ b/backends/src/main/java/dev/ibishub/backends/ConfigurationFollower.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.Configuration;
--- a/platform/src/main/java/dev/ibishub/platform/GenerationLine.java
+++ b/backends/src/main/java/dev/ibishub/backends/GenerationLine.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 /**
  * One line of a streamed generation: a piece, or the end.
--- a/platform/src/main/java/dev/ibishub/platform/GenerationListener.java
+++ b/backends/src/main/java/dev/ibishub/backends/GenerationListener.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 /** Takes the pieces of an answer as they come. */
 @FunctionalInterface
--- a/platform/src/main/java/dev/ibishub/platform/Json.java
+++ b/backends/src/main/java/dev/ibishub/backends/Json.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
--- a/platform/src/main/java/dev/ibishub/platform/PlatformError.java
+++ b/backends/src/main/java/dev/ibishub/backends/PlatformError.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 /**
  * The JSON body of an answer that refuses a call.
--- a/platform/src/main/java/dev/ibishub/platform/PlatformJson.java
+++ b/backends/src/main/java/dev/ibishub/backends/PlatformJson.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
--- a/platform/src/main/java/dev/ibishub/platform/ProblemDocument.java
+++ b/backends/src/main/java/dev/ibishub/backends/ProblemDocument.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.ibishub.core.ResultCode;
--- a/platform/src/main/java/dev/ibishub/platform/PromptPrefix.java
+++ b/backends/src/main/java/dev/ibishub/backends/PromptPrefix.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.List;
--- a/platform/src/main/java/dev/ibishub/platform/RankOrder.java
+++ b/backends/src/main/java/dev/ibishub/backends/RankOrder.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 /**
  * An order about a rank's expert map.
--- a/platform/src/main/java/dev/ibishub/platform/WeightReservation.java
+++ b/backends/src/main/java/dev/ibishub/backends/WeightReservation.java
@@ -1,4 +1,4 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 /**
  * What an engine means to read from the weight store.
--- /dev/null
+++ b/backends/src/main/java/dev/ibishub/backends/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What stands outside: engine, plain service, log, VM list and weight store, each behind one
+ * interface with an HTTP adapter.
+ */
+package dev.ibishub.backends;
--- a/platform/src/test/java/dev/ibishub/platform/ConfigurationPublisherTest.java
+++ b/backends/src/test/java/dev/ibishub/backends/ConfigurationPublisherTest.java
@@ -1,13 +1,13 @@
-package dev.ibishub.platform;
+package dev.ibishub.backends;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
+import dev.ibishub.backends.FakeLog.AppendFault;
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.ConfigurationEvent;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.FakeLog.AppendFault;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
 import java.time.Instant;
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -0,0 +1,56 @@
+package dev.ibishub.core.serving;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the target of a request: the one with the least work. Ranks of a group step together, so
+ * a pass lasts as long as that of the most loaded rank; every request that is placed evenly
+ * shortens the pauses of all streams. Immutable.
+ *
+ * @param entries how many entries send to the same targets
+ * @param maximumRequests requests at which a target counts as full
+ */
+public record TargetChoice(int entries, double maximumRequests) {
+  /** A request at a target in another failure domain costs this many requests more. */
+  private static final double OTHER_ZONE_COSTS = 0.2;
+
+  /**
+   * A target that may be chosen.
+   *
+   * @param id its id
+   * @param sameZone whether it lies in this entry's failure domain
+   * @param load what is believed of it
+   */
+  public record Candidate(String id, boolean sameZone, TargetLoad load) {}
+
+  /**
+   * Chooses.
+   *
+   * @param candidates the targets of the service, in an order that differs between calls, so that
+   *     entries which see the same loads don't all choose the same one
+   * @param tried ids of targets that this request was sent to before
+   * @param now the current time
+   * @return the target, or empty when all that can be reached are full
+   */
+  public Optional<Candidate> choose(List<Candidate> candidates, Set<String> tried, long now) {
+    List<Candidate> untried =
+        candidates.stream().filter(candidate -> !tried.contains(candidate.id())).toList();
+    List<Candidate> reachable =
+        untried.stream().filter(candidate -> !candidate.load().isSuspended(now)).toList();
+    // When all are suspended the cause is more likely this entry's own link; some target has to be
+    // tried, or the service would stay refused after the link is back.
+    List<Candidate> usable = reachable.isEmpty() ? untried : reachable;
+    return usable.stream()
+        .filter(candidate -> candidate.load().requests(now, entries) < maximumRequests)
+        .min(Comparator.comparingDouble(candidate -> cost(candidate, now)));
+  }
+
+  private double cost(Candidate candidate, long now) {
+    return candidate.load().requests(now, entries)
+        + candidate.load().handicap(now)
+        + (candidate.sameZone() ? 0 : OTHER_ZONE_COSTS);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -0,0 +1,127 @@
+package dev.ibishub.core.serving;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * What this entry believes of one target: how much work it has and how it has answered lately.
+ * Thread-safe by one lock.
+ *
+ * <p>The work is the target's own last report plus what this entry sent since. Reports are a little
+ * old, so several entries that see the same idle target would otherwise all choose it.
+ */
+public final class TargetLoad {
+  /** A report older than this no longer counts; some five pushes of an agent. Milliseconds. */
+  static final long REPORT_MILLIS = 500;
+
+  /**
+   * A send is taken as not yet part of a report that was measured less than this later: the way to
+   * the target and the pass in which it takes the request in. Milliseconds.
+   */
+  static final long ARRIVAL_MILLIS = 15;
+
+  /** Weight of the newest answer in the share of failures. */
+  private static final double FAILURE_WEIGHT = 0.25;
+
+  /** After this long without an answer half of the failures are forgiven. Milliseconds. */
+  private static final double FORGIVING_HALF_LIFE_MILLIS = 2_500;
+
+  /** Requests that a target is taken to have on top while all its answers fail. */
+  private static final double FAILING_COSTS = 8;
+
+  /** How long a target is left alone after it could not be reached, doubling. Milliseconds. */
+  private static final long FIRST_SUSPENSION_MILLIS = 300;
+
+  private static final long LONGEST_SUSPENSION_MILLIS = 2_400;
+
+  private final Deque<Long> sentSinceReport = new ArrayDeque<>();
+  private int ownInFlight;
+  private int reported;
+  private long measuredAt = Long.MIN_VALUE / 2;
+  private double pace = 1;
+  private double failureShare;
+  private long answeredAt;
+  private long suspendedUntil = Long.MIN_VALUE;
+  private long suspensionMillis = FIRST_SUSPENSION_MILLIS;
+
+  /** Counts a request sent to the target. */
+  public synchronized void onSent(long now) {
+    ownInFlight++;
+    sentSinceReport.addLast(now);
+  }
+
+  /** Counts the end of a request, however it ended. */
+  public synchronized void onEnded() {
+    ownInFlight--;
+  }
+
+  /**
+   * Takes a report of the target in.
+   *
+   * @param requests requests waiting and running there
+   * @param newPace how many times slower than usual the target works, 1 for as usual
+   * @param measured when the report was made, on this process's clock
+   */
+  public synchronized void onReport(int requests, double newPace, long measured) {
+    reported = requests;
+    pace = newPace;
+    measuredAt = measured;
+    while (!sentSinceReport.isEmpty() && sentSinceReport.peekFirst() + ARRIVAL_MILLIS < measured) {
+      sentSinceReport.removeFirst();
+    }
+  }
+
+  /** Notes how the target answered. */
+  public synchronized void onAnswer(boolean good, long now) {
+    failureShare = failureShare(now) * (1 - FAILURE_WEIGHT) + (good ? 0 : FAILURE_WEIGHT);
+    answeredAt = now;
+    if (good) {
+      suspensionMillis = FIRST_SUSPENSION_MILLIS;
+      suspendedUntil = Long.MIN_VALUE;
+    }
+  }
+
+  /** Notes that the target could not be reached; it is left alone for a while. */
+  public synchronized void onUnreachable(long now) {
+    onAnswer(false, now);
+    suspendedUntil = now + suspensionMillis;
+    suspensionMillis = Math.min(LONGEST_SUSPENSION_MILLIS, 2 * suspensionMillis);
+  }
+
+  /** Whether the target could not be reached a short while ago. */
+  public synchronized boolean isSuspended(long now) {
+    return now < suspendedUntil;
+  }
+
+  /** Whether the target's own report is recent enough to count. */
+  public synchronized boolean hasReport(long now) {
+    return now - measuredAt <= REPORT_MILLIS;
+  }
+
+  /**
+   * Estimates the requests at the target.
+   *
+   * @param now the current time
+   * @param entries how many entries send to it; without a report each is taken to send as much
+   */
+  public synchronized double requests(long now, int entries) {
+    if (!hasReport(now)) {
+      return (double) ownInFlight * Math.max(1, entries);
+    }
+    return reported + sentSinceReport.size();
+  }
+
+  /** Returns what its failures and its pace add to the requests when targets are compared. */
+  public synchronized double handicap(long now) {
+    return failureShare(now) * FAILING_COSTS + Math.max(0, pace - 1);
+  }
+
+  /** Returns the requests of this entry that are under way there. */
+  public synchronized int ownInFlight() {
+    return ownInFlight;
+  }
+
+  private double failureShare(long now) {
+    return failureShare * Math.pow(0.5, (now - answeredAt) / FORGIVING_HALF_LIFE_MILLIS);
+  }
+}
--- a/entry/src/main/java/dev/ibishub/entry/AdminPages.java
+++ b/entry/src/main/java/dev/ibishub/entry/AdminPages.java
@@ -1,12 +1,12 @@
 package dev.ibishub.entry;
 
 import com.sun.net.httpserver.HttpExchange;
+import dev.ibishub.backends.OperatorAnswer;
+import dev.ibishub.backends.OperatorApi;
+import dev.ibishub.backends.OperatorCall;
+import dev.ibishub.backends.OperatorTokens;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.OperatorAnswer;
-import dev.ibishub.platform.OperatorApi;
-import dev.ibishub.platform.OperatorCall;
-import dev.ibishub.platform.OperatorTokens;
 import dev.ibishub.settings.EntrySettings;
 import dev.ibishub.settings.OperatorSettings;
 import java.io.IOException;
--- a/entry/src/main/java/dev/ibishub/entry/OrderDesk.java
+++ b/entry/src/main/java/dev/ibishub/entry/OrderDesk.java
@@ -1,8 +1,8 @@
 package dev.ibishub.entry;
 
+import dev.ibishub.backends.TargetOrders;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.TargetOrders;
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.OrderReply;
--- a/entry/src/main/java/dev/ibishub/entry/PeerLinks.java
+++ b/entry/src/main/java/dev/ibishub/entry/PeerLinks.java
@@ -1,13 +1,13 @@
 package dev.ibishub.entry;
 
 import com.google.protobuf.ByteString;
+import dev.ibishub.backends.ConfigurationFollower;
 import dev.ibishub.core.Admission;
 import dev.ibishub.core.ConfigurationReader;
 import dev.ibishub.core.MemberRecord;
 import dev.ibishub.core.MemberRole;
 import dev.ibishub.core.Membership;
 import dev.ibishub.core.WorkspaceUse;
-import dev.ibishub.platform.ConfigurationFollower;
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.WireTransport;
--- a/entry/src/main/java/dev/ibishub/entry/Problem.java
+++ b/entry/src/main/java/dev/ibishub/entry/Problem.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import dev.ibishub.backends.ProblemDocument;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.ProblemDocument;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -0,0 +1,33 @@
+package dev.ibishub.gateway.front;
+
+import dev.ibishub.gateway.model.CallerLimits;
+import dev.ibishub.gateway.model.ServingConfiguration;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What all requests of an entry share.
+ *
+ * @param dialect how callers and targets spell things
+ * @param configuration the configuration in force, empty while none is known
+ * @param targets the targets
+ * @param budgets the retry budgets
+ * @param entries how many entries share the targets, 1 or more
+ * @param isLeaving whether this process is about to stop
+ * @param metrics what is counted
+ */
+public record RequestContext(
+    RequestDialect dialect,
+    Supplier<Optional<ServingConfiguration>> configuration,
+    TargetDirectory targets,
+    RetryBudgets budgets,
+    IntSupplier entries,
+    BooleanSupplier isLeaving,
+    RequestMetrics metrics) {
+
+  CallerLimits limits() {
+    return configuration.get().map(ServingConfiguration::limits).orElse(CallerLimits.DEFAULTS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestMetrics.java
@@ -0,0 +1,52 @@
+package dev.ibishub.gateway.front;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** What is counted on the request path. Thread-safe. */
+public final class RequestMetrics {
+  private final Counter requests;
+  private final Counter attempts;
+  private final Histogram firstPiece;
+
+  /**
+   * Creates the metrics.
+   *
+   * @param registry where they are listed
+   */
+  public RequestMetrics(PrometheusRegistry registry) {
+    requests =
+        Counter.builder()
+            .name("ibishub_requests_total")
+            .help("Callers' requests that ended, by service and result.")
+            .labelNames("service", "result")
+            .register(registry);
+    attempts =
+        Counter.builder()
+            .name("ibishub_attempts_total")
+            .help("Attempts at targets that ended, by service and outcome.")
+            .labelNames("service", "outcome")
+            .register(registry);
+    firstPiece =
+        Histogram.builder()
+            .name("ibishub_first_piece_seconds")
+            .help("Time from a request's arrival to the first piece of its answer, by service.")
+            .labelNames("service")
+            .classicOnly()
+            .classicUpperBounds(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8)
+            .register(registry);
+  }
+
+  void onRequestEnded(String service, String result) {
+    requests.labelValues(service, result).inc();
+  }
+
+  void onAttemptEnded(String service, String outcome) {
+    attempts.labelValues(service, outcome).inc();
+  }
+
+  void onFirstPiece(String service, long millis) {
+    firstPiece.labelValues(service).observe(millis / 1_000.0);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetAnswer.java
@@ -0,0 +1,26 @@
+package dev.ibishub.gateway.front;
+
+import java.util.Optional;
+
+/**
+ * What the head of a target's answer says.
+ *
+ * @param status HTTP status
+ * @param notRun whether the target says that it did not run the request
+ * @param isSigned whether the target vouches for the answer; a success without is not one
+ * @param attemptId the attempt that it answers, where it says so
+ * @param isEncoded whether the body is not as the target made it
+ * @param isEventStream whether the body is a stream of events
+ */
+public record TargetAnswer(
+    int status,
+    boolean notRun,
+    boolean isSigned,
+    Optional<String> attemptId,
+    boolean isEncoded,
+    boolean isEventStream) {
+  /** Whether the status says success. */
+  public boolean isSuccess() {
+    return status >= 200 && status < 300;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -0,0 +1,155 @@
+package dev.ibishub.gateway.front;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.LogEvent;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * The targets that may get requests, with what is believed of each. Thread-safe by one lock; the
+ * lists that it hands out don't change.
+ */
+public final class TargetDirectory {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /**
+   * How long a target is still used whose entry lapsed while the store was away, after the store is
+   * back: a live one announces itself again within about two seconds. Milliseconds.
+   */
+  static final long LAPSED_GRACE_MILLIS = 2_200;
+
+  /**
+   * A gap in what the store said that is longer than this may have made entries lapse; it is under
+   * the three heartbeats after which a silent target's entry is dropped. Milliseconds.
+   */
+  static final long OUTAGE_MILLIS = 2_000;
+
+  private final String ownZone;
+  private final Map<String, Known> known = new HashMap<>();
+  private volatile Map<String, List<Known>> usableByService = Map.of();
+  private volatile Map<String, List<Known>> byHost = Map.of();
+
+  /**
+   * A target and what is believed of it.
+   *
+   * @param target what it announced
+   * @param load its load; new with each of its lives
+   * @param usedUntil when it is taken as gone, on the monotonic clock; a very late time for a
+   *     target that is announced
+   */
+  public record Known(Target target, TargetLoad load, long usedUntil) {}
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param ownZone the failure domain of this process
+   */
+  public TargetDirectory(String ownZone) {
+    this.ownZone = ownZone;
+  }
+
+  public String ownZone() {
+    return ownZone;
+  }
+
+  /** Takes in what a target announces. */
+  public synchronized void onAnnounced(Target target) {
+    Known before = known.get(target.id());
+    boolean isNewLife =
+        before == null || target.startedAtMillis() > before.target().startedAtMillis();
+    if (!isNewLife && target.startedAtMillis() < before.target().startedAtMillis()) {
+      return;
+    }
+    TargetLoad load = isNewLife ? new TargetLoad() : before.load();
+    known.put(target.id(), new Known(target, load, Long.MAX_VALUE));
+    if (isNewLife || before.target().leaving() != target.leaving()) {
+      logger.atInfo().log(
+          "%s",
+          LogEvent.of("target.announced")
+              .with("target", target.id())
+              .with("service", target.service())
+              .with("address", target.host() + ":" + target.port())
+              .with("leaving", target.leaving())
+              .with("started_ms", target.startedAtMillis()));
+    }
+    if (before == null || !before.target().equals(target)) {
+      publish();
+    }
+  }
+
+  /**
+   * Takes in that a target's entry is gone.
+   *
+   * @param id the target's id
+   * @param outageMillis how long the store had said nothing before, milliseconds
+   * @param now the current time, milliseconds
+   */
+  public synchronized void onDropped(String id, long outageMillis, long now) {
+    Known before = known.get(id);
+    if (before == null) {
+      return;
+    }
+    boolean lapsed = outageMillis > OUTAGE_MILLIS && !before.target().leaving();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of(lapsed ? "target.lapsed" : "target.gone")
+            .with("target", id)
+            .with("outage_ms", outageMillis));
+    if (lapsed) {
+      known.put(id, new Known(before.target(), before.load(), now + LAPSED_GRACE_MILLIS));
+      return;
+    }
+    known.remove(id);
+    publish();
+  }
+
+  /** Drops targets whose grace is over. */
+  public synchronized void tick(long now) {
+    if (known.values().removeIf(each -> each.usedUntil() <= now)) {
+      publish();
+    }
+  }
+
+  /** Returns the targets of a service that take new requests. */
+  public List<Known> usable(String service) {
+    return usableByService.getOrDefault(service, List.of());
+  }
+
+  /** Returns all targets, also those that are leaving, by id. */
+  public synchronized List<Known> all() {
+    return known.values().stream()
+        .sorted(Comparator.comparing(each -> each.target().id()))
+        .toList();
+  }
+
+  /** Returns the targets at an IP number. */
+  public List<Known> atHost(String host) {
+    return byHost.getOrDefault(host, List.of());
+  }
+
+  /** Finds a target by its id. */
+  public synchronized Optional<Known> find(String id) {
+    return Optional.ofNullable(known.get(id));
+  }
+
+  private void publish() {
+    Map<String, List<Known>> byService = new HashMap<>();
+    known.values().stream()
+        .filter(each -> !each.target().leaving())
+        .forEach(
+            each ->
+                byService
+                    .computeIfAbsent(each.target().service(), any -> new ArrayList<>())
+                    .add(each));
+    byService.replaceAll((service, targets) -> List.copyOf(targets));
+    usableByService = Map.copyOf(byService);
+    byHost = known.values().stream().collect(Collectors.groupingBy(each -> each.target().host()));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -0,0 +1,225 @@
+package dev.ibishub.gateway.records;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MonotonicClock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+/**
+ * Knows the newest record of each key of one topic. Thread-safe by one lock; listeners are called
+ * under it, in the order of the records.
+ *
+ * <p>Calls to the store are paid for, so the entries share them: whoever reads tells the others,
+ * and a follower reads by itself only when it has heard nothing for its period. Periods differ by
+ * an entry's turn, so as long as the first in order can read, the others don't. An entry that the
+ * store turns away hears from the others and is no worse off.
+ *
+ * <p>Nothing goes back: a record is taken only with a higher offset than the key's last one, and a
+ * whole batch only if it reaches as far as what is known. Reads can be seconds behind.
+ */
+public final class RecordFollower {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Pause after a failed read, milliseconds: a store that is down sees 4 calls a second each. */
+  private static final long RETRY_MILLIS = 250;
+
+  private static final long UNKNOWN = -1;
+
+  private final FollowerOptions options;
+  private final KeyedLog log;
+  private final Consumer<RecordChange> onChange;
+  private final Consumer<RecordBatch> onRead;
+  private final Map<String, KeyedRecord> newest = new HashMap<>();
+  private long next = UNKNOWN;
+  private boolean historyLost;
+  private boolean reading;
+  private long confirmedAt = Long.MIN_VALUE / 2;
+  private long notBefore = Long.MIN_VALUE / 2;
+  private boolean reachable = true;
+  private long outageMillis;
+
+  /**
+   * Creates a follower that knows nothing yet.
+   *
+   * @param onChange told of each new record
+   * @param onRead told of each batch that this process read by itself, to pass it on to others
+   */
+  public RecordFollower(
+      FollowerOptions options,
+      KeyedLog log,
+      Consumer<RecordChange> onChange,
+      Consumer<RecordBatch> onRead) {
+    this.options = options;
+    this.log = log;
+    this.onChange = onChange;
+    this.onRead = onRead;
+  }
+
+  /**
+   * A record that is news.
+   *
+   * @param record the record
+   * @param outageMillis how long nothing had been known before this record came, milliseconds;
+   *     large after the store was away
+   */
+  public record RecordChange(KeyedRecord record, long outageMillis) {}
+
+  public String topic() {
+    return options.topic();
+  }
+
+  /** Whether anything was ever read or heard. */
+  public synchronized boolean isKnown() {
+    return next != UNKNOWN;
+  }
+
+  /** Returns how long ago what is known was last confirmed, milliseconds. */
+  public synchronized long ageMillis(long now) {
+    return now - confirmedAt;
+  }
+
+  /** Returns all that is known, to hand it to an entry that has just started. */
+  public synchronized Optional<RecordBatch> snapshot() {
+    return next == UNKNOWN
+        ? Optional.empty()
+        : Optional.of(new RecordBatch(0, next, true, List.copyOf(newest.values())));
+  }
+
+  /**
+   * Reads when it is this process's turn. To be called often.
+   *
+   * @param now the current time, milliseconds
+   * @param turn this entry's place in the order of reading, from 0
+   */
+  public void tick(long now, int turn) {
+    boolean whole;
+    long from;
+    synchronized (this) {
+      long due = confirmedAt + options.periodMillis() + turn * options.turnMillis();
+      if (reading || now < notBefore || now < due) {
+        return;
+      }
+      reading = true;
+      whole = next == UNKNOWN || historyLost;
+      from = next;
+    }
+    var batch =
+        whole
+            ? log.newest(options.topic())
+            : log.read(options.topic(), from, turn == 0 ? options.waitMillis() : 0);
+    batch.whenComplete((read, failure) -> finish(read, failure));
+  }
+
+  /**
+   * Takes a batch in that another entry read.
+   *
+   * @param now the current time, milliseconds
+   */
+  public synchronized void onHeard(RecordBatch batch, long now) {
+    if (batch.isWhole() ? batch.end() >= next : next != UNKNOWN && batch.from() <= next) {
+      take(batch, now);
+    }
+  }
+
+  private void finish(RecordBatch batch, Throwable failure) {
+    long now = MonotonicClock.millis();
+    boolean passOn = false;
+    synchronized (this) {
+      reading = false;
+      if (failure != null) {
+        onFailure(failure, now);
+      } else if (batch.isWhole() && batch.end() < next) {
+        logger.atWarning().log(
+            "%s",
+            LogEvent.of("store.behind")
+                .with("topic", options.topic())
+                .with("end", batch.end())
+                .with("known", next));
+        notBefore = now + RETRY_MILLIS;
+      } else {
+        onReachable(now);
+        historyLost = historyLost && !batch.isWhole();
+        take(batch, now);
+        passOn = true;
+      }
+    }
+    if (passOn) {
+      onRead.accept(batch);
+    }
+  }
+
+  private void onFailure(Throwable failure, long now) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof KeyedLog.HistoryLostException) {
+      historyLost = true;
+      logger.atInfo().log(
+          "%s", LogEvent.of("store.history_lost").with("topic", options.topic()).with("at", next));
+      return;
+    }
+    notBefore = now + RETRY_MILLIS;
+    if (reachable) {
+      reachable = false;
+      logger.atWarning().log(
+          "%s",
+          LogEvent.of("store.lost")
+              .with("topic", options.topic())
+              .with("age_ms", now - confirmedAt)
+              .with("cause", cause));
+    }
+  }
+
+  private void onReachable(long now) {
+    if (!reachable) {
+      reachable = true;
+      logger.atInfo().log(
+          "%s",
+          LogEvent.of("store.back")
+              .with("topic", options.topic())
+              .with("age_ms", now - confirmedAt));
+    }
+  }
+
+  private void take(RecordBatch batch, long now) {
+    // Records that come in one piece after an outage may tell of what happened early in it, so the
+    // whole gap counts for each of them, also when they arrive in several batches.
+    long gap = now - confirmedAt;
+    long outage = next == UNKNOWN ? 0 : gap;
+    List<KeyedRecord> news = new ArrayList<>();
+    batch.records().stream().filter(this::isNews).forEach(news::add);
+    if (batch.isWhole()) {
+      dropped(batch).forEach(key -> news.add(new KeyedRecord(batch.end(), key, Optional.empty())));
+    }
+    next = Math.max(next, batch.end());
+    confirmedAt = now;
+    outageMillis = outage;
+    news.forEach(this::apply);
+  }
+
+  private boolean isNews(KeyedRecord record) {
+    KeyedRecord known = newest.get(record.key());
+    return known == null || record.offset() > known.offset();
+  }
+
+  private Set<String> dropped(RecordBatch whole) {
+    Set<String> named = whole.records().stream().map(KeyedRecord::key).collect(Collectors.toSet());
+    return newest.values().stream()
+        .filter(known -> known.value().isPresent() && known.offset() < whole.end())
+        .map(KeyedRecord::key)
+        .filter(key -> !named.contains(key))
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  private void apply(KeyedRecord record) {
+    newest.put(record.key(), record);
+    onChange.accept(new RecordChange(record, outageMillis));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -0,0 +1,275 @@
+package dev.ibishub.node;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import dev.ibishub.gateway.front.CallerServer;
+import dev.ibishub.gateway.front.RequestContext;
+import dev.ibishub.gateway.front.RequestMetrics;
+import dev.ibishub.gateway.front.RetryBudgets;
+import dev.ibishub.gateway.front.TargetDirectory;
+import dev.ibishub.gateway.http.HttpCaller;
+import dev.ibishub.gateway.http.PageServer;
+import dev.ibishub.gateway.membership.PeerMesh;
+import dev.ibishub.gateway.records.FollowerOptions;
+import dev.ibishub.gateway.records.RecordBatch;
+import dev.ibishub.gateway.records.RecordFollower;
+import dev.ibishub.gateway.records.RecordFollower.RecordChange;
+import dev.ibishub.gateway.records.RecordMessages;
+import dev.ibishub.platform.AddressPages;
+import dev.ibishub.platform.HeaderDialect;
+import dev.ibishub.platform.StoreClient;
+import dev.ibishub.platform.TargetEntryDecoder;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.runtime.StopSignals;
+import dev.ibishub.settings.NodeSettings;
+import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.RecordProgress;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** An entry: takes callers' requests on one VM and finds everything else by itself. */
+final class EntryNode {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Threads for connections; a VM has less than one core. */
+  private static final int IO_THREADS = 2;
+
+  /** Time between two looks at what is due, milliseconds. */
+  private static final long TICK_MILLIS = 25;
+
+  /**
+   * How the operator's configuration is followed: one entry keeps a read open that the store
+   * answers at once on a change, or after this long; the others step in if they hear nothing.
+   */
+  private static final FollowerOptions CONFIGURATION =
+      new FollowerOptions(StoreClient.OPERATOR_TOPIC, 50, 1_300, 1_000);
+
+  /**
+   * How targets are followed. Each writes about once a second, so a read that is held open would
+   * return with each single write; a read each half second returns some ten of them, and a target
+   * that leaves is known within a quarter of the time that it has to be.
+   */
+  private static final FollowerOptions TARGETS =
+      new FollowerOptions(StoreClient.TARGETS_TOPIC, 500, 250, 0);
+
+  /** How entries that no other entry names are found; seeds and heartbeats name most. */
+  private static final FollowerOptions ENTRIES =
+      new FollowerOptions(StoreClient.ENTRIES_TOPIC, 5_000, 1_500, 0);
+
+  private final NodeSettings settings;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+  private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+  private final ConfigurationState configuration = new ConfigurationState();
+  private final TargetDirectory targets;
+  private final StoreClient store;
+  private final List<RecordFollower> followers;
+  private final PeerMesh mesh;
+  private final WireTransport transport;
+  private final CallerServer server;
+  private volatile boolean isLeaving;
+  private volatile boolean isListening;
+  private boolean isAnnounced;
+
+  private EntryNode(NodeSettings settings) {
+    this.settings = settings;
+    InetSocketAddress storeAddress = Sockets.address(settings.storeAddress().orElseThrow());
+    HttpCaller caller = new HttpCaller(group);
+    NodeMetrics metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
+    targets = new TargetDirectory(settings.zone());
+    store =
+        new StoreClient(
+            caller, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
+    followers =
+        List.of(
+            follower(CONFIGURATION, this::onConfigurationRecord),
+            follower(TARGETS, this::onTargetRecord),
+            follower(ENTRIES, this::onEntryRecord));
+    transport =
+        WireTransport.sharing(
+            new Identity(
+                settings.processId(),
+                "entry",
+                settings.zone(),
+                ThreadLocalRandom.current().nextLong()),
+            group);
+    mesh =
+        new PeerMesh(
+            new PeerMesh.Self(
+                settings.processId(),
+                settings.host(),
+                settings.linkPort(),
+                settings.callerAddress().orElseThrow(),
+                this::isReady,
+                () -> isLeaving),
+            transport,
+            () -> known().map(RecordFollower::snapshot).flatMap(Optional::stream).toList(),
+            () -> known().map(RecordFollower::topic).toList(),
+            this::onProgress);
+    server =
+        new CallerServer(
+            new RequestContext(
+                new HeaderDialect(),
+                configuration::get,
+                targets,
+                new RetryBudgets(
+                    settings.retriesPerRequest(),
+                    settings.sharedRetryAllowance(),
+                    TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds())),
+                () -> mesh.entries(MonotonicClock.millis()),
+                () -> isLeaving,
+                new RequestMetrics(PrometheusRegistry.defaultRegistry)));
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param file where the settings were read from, to read them again when they change
+   */
+  static EntryNode start(NodeSettings settings, Path file) {
+    EntryNode node = new EntryNode(settings);
+    node.run(file);
+    return node;
+  }
+
+  private void run(Path file) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("entry.started")
+            .with("host", settings.host())
+            .with("zone", settings.zone())
+            .with("seeds", settings.seeds()));
+    mesh.addHosts(settings.seeds().stream().map(Sockets::host).toList(), MonotonicClock.millis());
+    transport.listen(settings.host(), settings.linkPort(), mesh).join();
+    ticker.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    server.listen(group, Sockets.address(settings.callerAddress().orElseThrow()));
+    isListening = true;
+    PageServer.listen(
+        group,
+        Sockets.address(settings.readinessAddress().orElseThrow()),
+        AddressPages.readiness(this::isReady));
+    PageServer.listen(
+        group,
+        Sockets.address(settings.directoryAddress().orElseThrow()),
+        AddressPages.addresses(
+            () -> mesh.callerAddresses(MonotonicClock.millis()),
+            settings.addressValiditySeconds()));
+    if (settings.metricsPort() > 0) {
+      PageServer.listen(
+          group,
+          new InetSocketAddress(settings.host(), settings.metricsPort()),
+          new MetricsText(PrometheusRegistry.defaultRegistry));
+    }
+    StopSignals.onStop(() -> new GracefulStop(settings, server, () -> isLeaving = true).run());
+    new SettingsWatch(file, settings).start(ticker);
+  }
+
+  private RecordFollower follower(
+      FollowerOptions options, java.util.function.Consumer<RecordChange> onChange) {
+    return new RecordFollower(
+        options, store, onChange, batch -> tellOthers(options.topic(), batch));
+  }
+
+  private void tellOthers(String topic, RecordBatch batch) {
+    mesh.broadcast(RecordMessages.frame(topic, batch));
+  }
+
+  private Stream<RecordFollower> known() {
+    return followers.stream().filter(RecordFollower::isKnown);
+  }
+
+  private boolean isReady() {
+    return isListening
+        && !isLeaving
+        && configuration.get().isPresent()
+        && followers.get(1).isKnown();
+  }
+
+  private void tick() {
+    try {
+      long now = MonotonicClock.millis();
+      mesh.tick(now);
+      targets.tick(now);
+      int turn = mesh.turn(now);
+      followers.forEach(follower -> follower.tick(now, turn));
+      announce();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
+    }
+  }
+
+  /** Tells entries that share no seed with this one where it is, once. */
+  private void announce() {
+    if (isAnnounced || !isReady()) {
+      return;
+    }
+    isAnnounced = true;
+    store
+        .append(
+            StoreClient.ENTRIES_TOPIC,
+            settings.processId(),
+            ByteString.copyFromUtf8(settings.host()).toByteArray())
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                isAnnounced = false;
+                logger.atInfo().log(
+                    "%s", LogEvent.of("entry.not_announced").with("cause", failure));
+              }
+            });
+  }
+
+  private void onProgress(RecordProgress progress) {
+    followers.stream()
+        .filter(follower -> follower.topic().equals(progress.getTopic()))
+        .forEach(
+            follower -> follower.onHeard(RecordMessages.batch(progress), MonotonicClock.millis()));
+  }
+
+  private void onConfigurationRecord(RecordChange change) {
+    if (change.record().key().equals(StoreClient.CONFIGURATION_KEY)) {
+      configuration.onRecord(change.record());
+    }
+  }
+
+  private void onTargetRecord(RecordChange change) {
+    String id = change.record().key();
+    if (change.record().value().isEmpty()) {
+      targets.onDropped(id, change.outageMillis(), MonotonicClock.millis());
+      return;
+    }
+    try {
+      targets.onAnnounced(TargetEntryDecoder.decode(change.record()));
+    } catch (IOException | IllegalArgumentException e) {
+      logger.atWarning().log(
+          "%s",
+          LogEvent.of("target.unreadable")
+              .with("target", id)
+              .with("offset", change.record().offset())
+              .with("cause", e));
+    }
+  }
+
+  private void onEntryRecord(RecordChange change) {
+    change
+        .record()
+        .value()
+        .map(ByteString::copyFrom)
+        .map(ByteString::toStringUtf8)
+        .ifPresent(host -> mesh.addHosts(List.of(host), MonotonicClock.millis()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/ibishub/node/NodeMain.java
@@ -0,0 +1,50 @@
+package dev.ibishub.node;
+
+import dev.ibishub.platform.SettingsLocation;
+import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.settings.NodeSettings;
+import dev.ibishub.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** Command line of {@code ibishub-node}. */
+public final class NodeMain {
+  private NodeMain() {}
+
+  /**
+   * Runs an entry, or an agent where the settings name a target's address, until it is told to
+   * stop.
+   *
+   * @param arguments see {@code ibishub-node --help}
+   */
+  public static void main(String[] arguments) throws IOException {
+    // The platform starts programs without a command line of its own and names the file otherwise.
+    Optional<Path> given =
+        arguments.length == 0 ? SettingsLocation.find(System.getenv()) : Optional.empty();
+    Path file = given.isPresent() ? given.get() : fileOnCommandLine(arguments);
+    NodeSettings settings = readOrExit(file);
+    LogSetup.configureQueued(settings.processId());
+    if (settings.engineAddress().isPresent()) {
+      AgentNode.start(settings);
+    } else {
+      EntryNode.start(settings, file);
+    }
+  }
+
+  private static Path fileOnCommandLine(String[] arguments) throws IOException {
+    return CommandLine.settingsFile(
+        "ibishub-node", "An entry, or an agent beside a target, on the platform.", arguments);
+  }
+
+  private static NodeSettings readOrExit(Path file) {
+    try {
+      return NodeSettings.read(file);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      System.exit(CommandLine.USAGE);
+      throw e;
+    }
+  }
+}
--- a/runtime/src/main/java/dev/ibishub/runtime/LogSetup.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/LogSetup.java
@@ -1,5 +1,7 @@
 package dev.ibishub.runtime;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.LinkedHashMap;
@@ -35,6 +37,22 @@
     root.setLevel(Level.INFO);
   }
 
+  /**
+   * Sets the log up to go to standard output as JSON, without ever holding up who logs.
+   *
+   * @param process name of this process, put on each line
+   */
+  public static void configureQueued(String process) {
+    json = true;
+    LogManager.getLogManager().reset();
+    Handler handler =
+        QueuedLineHandler.start(
+            new FileOutputStream(FileDescriptor.out), new LineFormatter(process));
+    Logger root = Logger.getLogger("");
+    root.addHandler(handler);
+    root.setLevel(Level.INFO);
+  }
+
   static boolean isJson() {
     return json;
   }
--- a/runtime/src/main/java/dev/ibishub/runtime/StopSignals.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/StopSignals.java
@@ -33,6 +33,15 @@
     Stream.of("TERM", "INT").forEach(name -> handle(name, onSignal));
   }
 
+  /**
+   * Listens for SIGHUP, which tells a process to read its settings again.
+   *
+   * @param reload runs once for each signal, on the JVM's signal thread
+   */
+  public static void onReload(Runnable reload) {
+    handle("HUP", reload);
+  }
+
   /** Uses sun.misc.Signal by name: the class is supported, but to name it is a compiler warning. */
   private static void handle(String name, Runnable onSignal) {
     try {
--- a/settings/src/main/java/dev/ibishub/settings/Forms.java
+++ b/settings/src/main/java/dev/ibishub/settings/Forms.java
@@ -12,6 +12,8 @@
       matching("a name of letters, digits, '.', '_' and '-'", "[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
   static final Form ADDRESS =
       matching("an IP number", "\\d{1,3}(\\.\\d{1,3}){3}|[0-9A-Fa-f]*:[0-9A-Fa-f:.]+");
+  static final Form SOCKET =
+      matching("an IP number and a port, as 10.0.0.1:80", "\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}");
   static final Form SHA256 = matching("64 hexadecimal digits", "[0-9a-fA-F]{64}");
   static final Form METHOD = matching("an HTTP method in capitals", "[A-Z]{3,16}");
   static final Form PATH = matching("a path from '/' on, '*' for any part", "/[!-\\[\\]-~]{0,511}");
--- a/standins/src/main/java/dev/ibishub/standins/Caller.java
+++ b/standins/src/main/java/dev/ibishub/standins/Caller.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.platform.PlatformJson;
+import dev.ibishub.backends.PlatformJson;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
--- a/standins/src/main/java/dev/ibishub/standins/DirectSession.java
+++ b/standins/src/main/java/dev/ibishub/standins/DirectSession.java
@@ -1,11 +1,11 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.Outcome;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.ModelEngine;
-import dev.ibishub.platform.PlatformJson;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
@@ -1,13 +1,13 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.backends.EngineLoad;
+import dev.ibishub.backends.EngineOrder;
+import dev.ibishub.backends.EngineState;
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.RankOrder;
+import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ExpertMap;
-import dev.ibishub.platform.CacheEvents;
-import dev.ibishub.platform.EngineLoad;
-import dev.ibishub.platform.EngineOrder;
-import dev.ibishub.platform.EngineState;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.RankOrder;
-import dev.ibishub.platform.RankState;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/standins/src/main/java/dev/ibishub/standins/EngineRank.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineRank.java
@@ -1,14 +1,14 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.backends.EngineLoad;
+import dev.ibishub.backends.EngineOrder;
+import dev.ibishub.backends.EngineState;
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.CacheEvents;
-import dev.ibishub.platform.EngineLoad;
-import dev.ibishub.platform.EngineOrder;
-import dev.ibishub.platform.EngineState;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayDeque;
--- a/standins/src/main/java/dev/ibishub/standins/EngineStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineStandIn.java
@@ -1,11 +1,11 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.backends.EngineOrder;
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.GenerationLine;
+import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.backends.RankOrder;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.platform.EngineOrder;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.GenerationLine;
-import dev.ibishub.platform.PlatformJson;
-import dev.ibishub.platform.RankOrder;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Optional;
--- a/standins/src/main/java/dev/ibishub/standins/GeneratedStream.java
+++ b/standins/src/main/java/dev/ibishub/standins/GeneratedStream.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.GenerationEnd;
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.GenerationEnd;
 import java.util.List;
 import java.util.Optional;
 
--- a/standins/src/main/java/dev/ibishub/standins/LoadMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadMain.java
@@ -1,9 +1,9 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.platform.HttpModelEngine;
-import dev.ibishub.platform.ModelEngine;
-import dev.ibishub.platform.PlatformHttp;
-import dev.ibishub.platform.PlatformJson;
+import dev.ibishub.backends.HttpModelEngine;
+import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.backends.PlatformHttp;
+import dev.ibishub.backends.PlatformJson;
 import java.io.IOException;
 import java.net.http.HttpClient;
 import java.nio.file.Files;
--- a/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.ibishub.platform.PlatformJson;
+import dev.ibishub.backends.PlatformJson;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.time.Instant;
--- a/standins/src/main/java/dev/ibishub/standins/OverheadMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/OverheadMain.java
@@ -1,6 +1,6 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.platform.PlatformJson;
+import dev.ibishub.backends.PlatformJson;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/standins/src/main/java/dev/ibishub/standins/PrefixCache.java
+++ b/standins/src/main/java/dev/ibishub/standins/PrefixCache.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.platform.CacheEvents;
-import dev.ibishub.platform.PromptPrefix;
+import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.backends.PromptPrefix;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Collections;
--- a/standins/src/main/java/dev/ibishub/standins/StandInReply.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInReply.java
@@ -1,8 +1,8 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.backends.PlatformError;
+import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.platform.PlatformError;
-import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.HashMap;
--- a/standins/src/main/java/dev/ibishub/standins/StandInRequest.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInRequest.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.sun.net.httpserver.Headers;
-import dev.ibishub.platform.PlatformJson;
+import dev.ibishub.backends.PlatformJson;
 import java.io.IOException;
 import java.net.URI;
 import java.net.URLDecoder;
--- a/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.ibishub.backends.PlatformHttp;
+import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.platform.PlatformHttp;
-import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.URI;
--- a/standins/src/test/java/dev/ibishub/standins/EngineGroupTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/EngineGroupTest.java
@@ -3,11 +3,11 @@
 import static dev.ibishub.standins.StandInFixture.codeOf;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.backends.HttpModelEngine;
+import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.backends.RankOrder;
+import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.platform.HttpModelEngine;
-import dev.ibishub.platform.ModelEngine;
-import dev.ibishub.platform.RankOrder;
-import dev.ibishub.platform.RankState;
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
--- a/standins/src/test/java/dev/ibishub/standins/StandInFixture.java
+++ b/standins/src/test/java/dev/ibishub/standins/StandInFixture.java
@@ -1,10 +1,10 @@
 package dev.ibishub.standins;
 
+import dev.ibishub.backends.GenerationCall;
+import dev.ibishub.backends.PlatformHttp;
+import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.platform.GenerationCall;
-import dev.ibishub.platform.PlatformHttp;
-import dev.ibishub.platform.PlatformJson;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
--- a/wire/src/main/java/dev/ibishub/wire/WireTransport.java
+++ b/wire/src/main/java/dev/ibishub/wire/WireTransport.java
@@ -55,10 +55,10 @@
   private final Optional<TlsContexts> tls;
   private final EventLoopGroup group;
 
-  private WireTransport(Identity identity, Optional<TlsContexts> tls) {
+  private WireTransport(Identity identity, Optional<TlsContexts> tls, EventLoopGroup group) {
     this.identity = identity;
     this.tls = tls;
-    this.group = new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+    this.group = group;
   }
 
   /**
@@ -68,7 +68,18 @@
    * @param tls the certificates, or empty for plain TCP
    */
   public static WireTransport create(Identity identity, Optional<TlsContexts> tls) {
-    return new WireTransport(identity, tls);
+    return new WireTransport(
+        identity, tls, new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory()));
+  }
+
+  /**
+   * Creates a transport without TLS on threads that the process has already.
+   *
+   * @param identity who this process is
+   * @param group the threads; closed with the transport
+   */
+  public static WireTransport sharing(Identity identity, EventLoopGroup group) {
+    return new WireTransport(identity, Optional.empty(), group);
   }
 
   /**
