Move experts to where the demand is: counts at the ranks, plan, prepare, hold, arm, release

Change: agents read counts and reports on their own VM and push them; the first entry in order leads. core.ranks holds the decisions: ExpertDemand (a window of 400 ms), PlacementPlanner (one copy after the other by time gained), MapSwitch (one rank holds the step, all are armed and have confirmed, then it is released). Fencing tokens are made of the time of day.

Ruled out: arming without a hold (an order without an answer may be carried out seconds later, so some ranks could switch alone).

--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -0,0 +1,121 @@
+package dev.ibishub.gateway.experts;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.gateway.front.TargetDirectory;
+import dev.ibishub.gateway.model.EngineProfile;
+import dev.ibishub.gateway.model.Service;
+import dev.ibishub.gateway.model.ServingConfiguration;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.LogEvent;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Keeps the expert maps of all groups fitting to their demand, while this entry leads. Thread-safe
+ * by one lock.
+ */
+public final class ExpertController implements RankLinks.RankListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final TargetDirectory targets;
+  private final Supplier<Optional<ServingConfiguration>> configuration;
+  private final Map<String, GroupLead> groups = new HashMap<>();
+  private final RankOrders orders;
+  private final FencingTokens tokens;
+  private final InstantSource clock;
+  private boolean isLeading;
+
+  /**
+   * Creates a controller that leads nothing yet.
+   *
+   * @param orders gives orders to engines
+   * @param clock the time of day, for fencing tokens and versions
+   */
+  public ExpertController(
+      TargetDirectory targets,
+      Supplier<Optional<ServingConfiguration>> configuration,
+      RankOrders orders,
+      InstantSource clock) {
+    this.targets = targets;
+    this.configuration = configuration;
+    this.orders = orders;
+    this.clock = clock;
+    this.tokens = new FencingTokens(clock);
+  }
+
+  /**
+   * Does what is due. To be called often.
+   *
+   * @param leads whether this entry is to lead
+   */
+  public synchronized void tick(boolean leads, long now) {
+    if (leads != isLeading) {
+      isLeading = leads;
+      groups.clear();
+      logger.atInfo().log("%s", LogEvent.of(leads ? "lead.taken" : "lead.given_up"));
+    }
+    if (leads) {
+      List.copyOf(groups.values()).forEach(group -> group.tick(now));
+    }
+  }
+
+  @Override
+  public synchronized void onState(String host, RankState state, long now) {
+    if (!isLeading || state.membership().isEmpty()) {
+      return;
+    }
+    RankState.Membership place = state.membership().get();
+    Optional<Target> target = engineAt(host);
+    Optional<EngineProfile> profile = target.flatMap(this::profile);
+    if (target.isEmpty() || profile.isEmpty() || !profile.get().hasExperts()) {
+      return;
+    }
+    GroupLead known = groups.get(place.group());
+    if (known == null || known.size() != place.size()) {
+      known =
+          new GroupLead(place.group(), place.size(), profile.get(), orders, tokens, clock, this);
+      groups.put(place.group(), known);
+      logger.atInfo().log(
+          "%s",
+          LogEvent.of("group.found")
+              .with("group", place.group())
+              .with("ranks", place.size())
+              .with("epoch", place.epoch())
+              .with("map", place.mapVersion()));
+    }
+    known.onPlace(target.get(), place, now);
+  }
+
+  @Override
+  public synchronized void onPicks(String host, RankEngine.Picks picks, long now) {
+    groups.values().forEach(group -> group.onPicks(host, picks, now));
+  }
+
+  @Override
+  public synchronized void onMap(String host, RankEngine.HeldMap map) {
+    groups.values().forEach(group -> group.onMap(host, map));
+  }
+
+  private Optional<Target> engineAt(String host) {
+    return targets.atHost(host).stream()
+        .map(TargetDirectory.Known::target)
+        .filter(target -> profile(target).isPresent())
+        .findFirst();
+  }
+
+  private Optional<EngineProfile> profile(Target target) {
+    return configuration
+        .get()
+        .map(each -> each.services().get(target.service()))
+        .flatMap(Service::engine);
+  }
+
+  /** Whether any group is led here. */
+  public synchronized boolean isLeading() {
+    return isLeading;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -0,0 +1,247 @@
+package dev.ibishub.gateway.experts;
+
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.ranks.ExpertDemand;
+import dev.ibishub.core.ranks.GroupMap;
+import dev.ibishub.core.ranks.MapSwitch;
+import dev.ibishub.core.ranks.PlacementLimits;
+import dev.ibishub.core.ranks.PlacementPlanner;
+import dev.ibishub.core.ranks.RankCommand;
+import dev.ibishub.core.ranks.RankView;
+import dev.ibishub.core.ranks.TokenSource;
+import dev.ibishub.gateway.model.EngineProfile;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MonotonicClock;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.IntStream;
+
+/**
+ * One group as its leading entry sees it. All methods are called under the lock that it is given,
+ * and answers to orders take the same.
+ */
+final class GroupLead {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /**
+   * How far back the demand is looked at, milliseconds: four readings of the agents, in which some
+   * twenty prompts come in.
+   */
+  static final long WINDOW_MILLIS = 400;
+
+  /** Copying for one map may take a rank about this long, milliseconds. */
+  static final double COPY_MILLIS = 240;
+
+  /** Part of the pass that one copied expert has to gain; it costs 15 in 100 while it lasts. */
+  static final double LEAST_GAIN = 0.002;
+
+  /** Sets whose most loaded rank is within this of the mean are left alone. */
+  static final double GOOD_SKEW = 1.08;
+
+  /** Bits of a version that tell leaders apart, so that two never give one number to two maps. */
+  private static final int SALT_BITS = 10;
+
+  private final String group;
+  private final int size;
+  private final EngineProfile profile;
+  private final RankOrders orders;
+  private final InstantSource clock;
+  private final Object lock;
+  private final MapSwitch mapSwitch;
+  private final ExpertDemand demand;
+  private final Map<Integer, Target> byRank = new HashMap<>();
+  private final Map<Integer, RankEngine.HeldMap> held = new HashMap<>();
+  private final long salt = ThreadLocalRandom.current().nextLong(1L << SALT_BITS);
+  private Optional<GroupMap> planned = Optional.empty();
+  private long plannedVersion;
+  private MapSwitch.Phase lastPhase = MapSwitch.Phase.IDLE;
+  private long lastMapVersion = -1;
+  private long startedAt;
+
+  GroupLead(
+      String group,
+      int size,
+      EngineProfile profile,
+      RankOrders orders,
+      TokenSource tokens,
+      InstantSource clock,
+      Object lock) {
+    this.group = group;
+    this.size = size;
+    this.profile = profile;
+    this.orders = orders;
+    this.clock = clock;
+    this.lock = lock;
+    this.mapSwitch = new MapSwitch(size, tokens);
+    this.demand = new ExpertDemand(profile.layers(), profile.experts(), WINDOW_MILLIS);
+  }
+
+  int size() {
+    return size;
+  }
+
+  void onPlace(Target target, RankState.Membership place, long now) {
+    byRank.put(place.rank(), target);
+    mapSwitch.onView(
+        place.rank(),
+        new RankView(
+            place.epoch(),
+            place.isOpen(),
+            place.step(),
+            place.mapVersion(),
+            place.preparedVersion(),
+            place.armedVersion(),
+            place.armedStep(),
+            place.heldStep(),
+            now));
+  }
+
+  void onPicks(String host, RankEngine.Picks picks, long now) {
+    rankAt(host).ifPresent(rank -> demand.onCounts(rank, picks.epoch(), picks.counts(), now));
+  }
+
+  void onMap(String host, RankEngine.HeldMap map) {
+    rankAt(host).ifPresent(rank -> held.put(rank, map));
+  }
+
+  void tick(long now) {
+    if (mapSwitch.isReady(now) && demand.ranksKnown() == size) {
+      plan(now);
+    }
+    mapSwitch.tick(now).forEach(this::send);
+    logPhase(now);
+  }
+
+  private void plan(long now) {
+    Optional<GroupMap> current = currentMap();
+    if (current.isEmpty()) {
+      return;
+    }
+    Optional<PlacementPlanner.Plan> plan =
+        PlacementPlanner.plan(current.get(), demand.tokens(), limits());
+    if (plan.isEmpty()) {
+      return;
+    }
+    long highest = Math.max(mapSwitch.highestVersion(), mapSwitch.version());
+    long version = (Math.max(clock.millis(), (highest >> SALT_BITS) + 1) << SALT_BITS) | salt;
+    planned = Optional.of(plan.get().map());
+    plannedVersion = version;
+    startedAt = now;
+    mapSwitch.start(version, now);
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("map.planned")
+            .with("group", group)
+            .with("version", version)
+            .with("fetches", plan.get().fetches())
+            .with("skew_before", number(plan.get().skewBefore()))
+            .with("skew_after", number(plan.get().skewAfter()))
+            .with("tokens", (long) demand.total())
+            .with("plan_ms", MonotonicClock.millis() - now));
+  }
+
+  private PlacementLimits limits() {
+    double fetchMillis = Math.max(1, profile.fetchMillis());
+    return new PlacementLimits(
+        profile.placesPerRank(),
+        Math.max(1, profile.newPerSet()),
+        Math.max(1, (int) (COPY_MILLIS / fetchMillis)),
+        LEAST_GAIN,
+        GOOD_SKEW);
+  }
+
+  /** The map that all ranks use: the one last planned here, or what the ranks say they hold. */
+  private Optional<GroupMap> currentMap() {
+    long version = mapSwitch.mapVersion().orElse(-1);
+    if (planned.isPresent() && version == plannedVersion) {
+      return planned;
+    }
+    long epoch = mapSwitch.epoch();
+    boolean isTold =
+        IntStream.range(0, size)
+            .allMatch(
+                rank ->
+                    held.containsKey(rank)
+                        && held.get(rank).version() == version
+                        && held.get(rank).epoch() == epoch
+                        && held.get(rank).experts().length == profile.layers());
+    if (!isTold) {
+      return Optional.empty();
+    }
+    int[][][] experts =
+        IntStream.range(0, profile.layers())
+            .mapToObj(
+                set ->
+                    IntStream.range(0, size)
+                        .mapToObj(rank -> held.get(rank).experts()[set])
+                        .toArray(int[][]::new))
+            .toArray(int[][][]::new);
+    return Optional.of(GroupMap.of(experts)).filter(map -> map.holdsAll(profile.experts()));
+  }
+
+  private void send(RankCommand command) {
+    Target target = byRank.get(command.rank());
+    if (target == null) {
+      return;
+    }
+    RankOrder order =
+        new RankOrder(
+            target.id(),
+            RankOrder.Kind.valueOf(command.kind().name()),
+            command.version(),
+            command.step(),
+            command.epoch(),
+            command.token(),
+            command.kind() == RankCommand.Kind.PREPARE
+                ? planned.map(GroupMap::experts)
+                : Optional.empty());
+    orders.give(target, order).thenAccept(result -> onResult(command, result));
+  }
+
+  private void onResult(RankCommand command, RankOrder.Result result) {
+    synchronized (lock) {
+      long now = MonotonicClock.millis();
+      mapSwitch.onResult(command, RankCommand.Result.valueOf(result.name()), now);
+      mapSwitch.tick(now).forEach(this::send);
+      logPhase(now);
+    }
+  }
+
+  private Optional<Integer> rankAt(String host) {
+    return byRank.entrySet().stream()
+        .filter(entry -> entry.getValue().host().equals(host))
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
+  private void logPhase(long now) {
+    MapSwitch.Phase phase = mapSwitch.phase();
+    if (phase == lastPhase) {
+      return;
+    }
+    long map = mapSwitch.mapVersion().orElse(-1);
+    if (phase == MapSwitch.Phase.IDLE && map != lastMapVersion) {
+      lastMapVersion = map;
+      demand.restart();
+    }
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("map.phase")
+            .with("group", group)
+            .with("version", mapSwitch.version())
+            .with("from", lastPhase)
+            .with("to", phase)
+            .with("map", map)
+            .with("after_ms", now - startedAt));
+    lastPhase = phase;
+  }
+
+  private static String number(double value) {
+    return String.format(Locale.ROOT, "%.3f", value);
+  }
+}
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.gateway.experts.ExpertController;
+import dev.ibishub.gateway.experts.RankLinks;
+import dev.ibishub.gateway.experts.RankOrders;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
@@ -10,12 +13,16 @@
 import dev.ibishub.gateway.http.HttpCaller;
 import dev.ibishub.gateway.http.PageServer;
 import dev.ibishub.gateway.membership.PeerMesh;
+import dev.ibishub.gateway.model.Service;
+import dev.ibishub.gateway.model.ServingConfiguration;
+import dev.ibishub.gateway.model.Target;
 import dev.ibishub.gateway.records.FollowerOptions;
 import dev.ibishub.gateway.records.RecordBatch;
 import dev.ibishub.gateway.records.RecordFollower;
 import dev.ibishub.gateway.records.RecordFollower.RecordChange;
 import dev.ibishub.gateway.records.RecordMessages;
 import dev.ibishub.platform.AddressPages;
+import dev.ibishub.platform.EngineClient;
 import dev.ibishub.platform.HeaderDialect;
 import dev.ibishub.platform.StoreClient;
 import dev.ibishub.platform.TargetEntryDecoder;
@@ -33,12 +40,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** An entry: takes callers' requests on one VM and finds everything else by itself. */
@@ -81,6 +92,8 @@
   private final PeerMesh mesh;
   private final WireTransport transport;
   private final CallerServer server;
+  private final ExpertController experts;
+  private final RankLinks ranks;
   private volatile boolean isLeaving;
   private volatile boolean isListening;
   private boolean isAnnounced;
@@ -120,6 +133,14 @@
             () -> known().map(RecordFollower::snapshot).flatMap(Optional::stream).toList(),
             () -> known().map(RecordFollower::topic).toList(),
             this::onProgress);
+    RankOrders orders =
+        (target, order) ->
+            ranks()
+                .order(target.host(), order)
+                .orElseGet(
+                    () -> new EngineClient(caller, target.host(), target.port()).order(order));
+    experts = new ExpertController(targets, configuration::get, orders, InstantSource.system());
+    ranks = new RankLinks(transport, settings.linkPort(), targets, experts);
     server =
         new CallerServer(
             new RequestContext(
@@ -178,8 +199,7 @@
     new SettingsWatch(file, settings).start(ticker);
   }
 
-  private RecordFollower follower(
-      FollowerOptions options, java.util.function.Consumer<RecordChange> onChange) {
+  private RecordFollower follower(FollowerOptions options, Consumer<RecordChange> onChange) {
     return new RecordFollower(
         options, store, onChange, batch -> tellOthers(options.topic(), batch));
   }
@@ -204,6 +224,9 @@
       long now = MonotonicClock.millis();
       mesh.tick(now);
       targets.tick(now);
+      boolean leads = mesh.leads(now);
+      ranks.tick(engineHosts(), leads, now);
+      experts.tick(leads, now);
       int turn = mesh.turn(now);
       followers.forEach(follower -> follower.tick(now, turn));
       announce();
@@ -212,6 +235,27 @@
     }
   }
 
+  private RankLinks ranks() {
+    return ranks;
+  }
+
+  /** IP numbers of targets that are model engines; an agent may stand beside each. */
+  private Set<String> engineHosts() {
+    Optional<ServingConfiguration> current = configuration.get();
+    if (current.isEmpty()) {
+      return Set.of();
+    }
+    return targets.all().stream()
+        .map(TargetDirectory.Known::target)
+        .filter(
+            target ->
+                Optional.ofNullable(current.get().services().get(target.service()))
+                    .flatMap(Service::engine)
+                    .isPresent())
+        .map(Target::host)
+        .collect(Collectors.toSet());
+  }
+
   /** Tells entries that share no seed with this one where it is, once. */
   private void announce() {
     if (isAnnounced || !isReady()) {
