Agents read their settings again on SIGHUP; play the whole path with real processes on stand-ins

Change: agents watch their settings as entries do (hangUpSignalEndsNoProcess). NodeEndToEndTest starts real entries and agents against a stand-in of the store and of targets with an encoding of their own: calm path, streams, a broken stream that goes on elsewhere, configuration change, key taken away, target leaving, target gone, planned stop, kill, store down, entry started in an outage, agent killed, SIGHUP.

--- a/node/src/main/java/dev/ibishub/node/AgentNode.java
+++ b/node/src/main/java/dev/ibishub/node/AgentNode.java
@@ -13,6 +13,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -31,7 +32,7 @@
 
   private AgentNode() {}
 
-  static void start(NodeSettings settings) {
+  static void start(NodeSettings settings, Path file) {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     InetSocketAddress engine = Sockets.address(settings.engineAddress().orElseThrow());
     RankAgent agent =
@@ -50,6 +51,9 @@
     group.scheduleWithFixedDelay(agent::readPicks, 0, PICKS_MILLIS, TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s", LogEvent.of("agent.started").with("engine", settings.engineAddress().orElse("")));
+    // Without a handler of its own the JVM ends on SIGHUP, which here only says that the settings
+    // may have changed.
+    new SettingsWatch(file, settings).start(group);
     StopSignals.onStop(
         () -> {
           logger.atInfo().log("%s", LogEvent.of("agent.stopped"));
--- a/node/src/main/java/dev/ibishub/node/NodeMain.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMain.java
@@ -27,7 +27,7 @@
     NodeSettings settings = readOrExit(file);
     LogSetup.configureQueued(settings.processId());
     if (settings.engineAddress().isPresent()) {
-      AgentNode.start(settings);
+      AgentNode.start(settings, file);
     } else {
       EntryNode.start(settings, file);
     }
--- /dev/null
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -0,0 +1,215 @@
+package dev.ibishub.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Real entries and agents against stand-ins of the platform, on loopback. */
+final class NodeEndToEndTest {
+  private Deployment deployment;
+  private TargetStandIn first;
+  private TargetStandIn second;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    deployment = new Deployment();
+    deployment.publish(3, "pages", "key-1");
+    first = deployment.target("i-1", "127.0.0.1", "pages");
+    second = deployment.target("i-2", "127.0.0.1", "pages");
+    deployment.startEntry("entry-1", "127.0.1.1", "127.0.1.1");
+    deployment.startEntry("entry-2", "127.0.1.2", "127.0.1.1");
+    deployment.await("both entries named", () -> isNamed("entry-1") && isNamed("entry-2"));
+  }
+
+  @AfterEach
+  void stop() {
+    deployment.close();
+  }
+
+  private boolean isNamed(String entry) throws IOException, InterruptedException {
+    return deployment.resolve("entry-1").contains(deployment.callerAddress(entry));
+  }
+
+  private HttpResponse<String> page(String entry) throws IOException, InterruptedException {
+    return deployment.call(entry, "GET", "/page/x?y=%20z", "key-1");
+  }
+
+  @Test
+  void requestsAreRelayedAsTheyCame() throws IOException, InterruptedException {
+    assertThat(page("entry-1").body()).isEqualTo("GET /page/x?y=%20z ");
+    HttpResponse<String> posted = deployment.call("entry-2", "POST", "/once/a", "");
+    assertThat(posted.body()).isEqualTo("POST /once/a the body");
+    assertThat(posted.headers().firstValue("X-Server-Stamp")).isPresent();
+    assertThat(deployment.call("entry-1", "GET", "/none/", "key-1").statusCode()).isEqualTo(404);
+
+    List<String> ran = new ArrayList<>(first.ran());
+    ran.addAll(second.ran());
+    assertThat(ran).hasSize(2).anyMatch(line -> line.endsWith(" w1 null"));
+  }
+
+  @Test
+  void streamIsRelayedWhole() throws IOException, InterruptedException {
+    String body = deployment.call("entry-1", "POST", "/stream/a", "").body();
+
+    assertThat(body.lines().filter(line -> line.startsWith("id: ")))
+        .containsExactly("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
+  }
+
+  // A reader sees the same sentence twice, or misses one. The target broke off in the middle of an
+  // event; the entry went on at another target and has to begin where the caller's last event
+  // ended.
+  @Test
+  void brokenStreamGoesOnAtAnotherTarget() throws IOException, InterruptedException {
+    first.breakStreamsAfter(2);
+    for (int i = 0; i < 6; i++) {
+      String body = deployment.call("entry-1", "POST", "/stream/a", "").body();
+      assertThat(body.lines().filter(line -> line.startsWith("id: ")))
+          .containsExactly("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
+    }
+  }
+
+  @Test
+  void newConfigurationTakesHoldAtEveryEntry() throws IOException, InterruptedException {
+    TargetStandIn other = deployment.target("i-3", "127.0.0.1", "other");
+    deployment.publish(9, "other", "key-1");
+
+    deployment.await(
+        "new route in force",
+        () ->
+            page("entry-1").statusCode() == 200
+                && page("entry-2").statusCode() == 200
+                && other.ran().size() >= 2);
+    int before = first.ran().size() + second.ran().size();
+    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+    assertThat(first.ran().size() + second.ran().size()).isEqualTo(before);
+  }
+
+  @Test
+  void keyTakenAwayIsRefusedAndAnOlderVersionDoesNotBringItBack()
+      throws IOException, InterruptedException {
+    deployment.publish(9, "pages", "key-2");
+    deployment.await(
+        "key refused",
+        () -> page("entry-1").statusCode() == 401 && page("entry-2").statusCode() == 401);
+    deployment.publish(4, "pages", "key-1");
+    deployment.publish(10, "pages", "key-2", "key-3");
+    deployment.await(
+        "newest in force",
+        () -> deployment.call("entry-1", "GET", "/page/x", "key-3").statusCode() == 200);
+
+    assertThat(page("entry-1").statusCode()).isEqualTo(401);
+  }
+
+  @Test
+  void leavingTargetGetsNothingMore() throws IOException, InterruptedException {
+    deployment.store().put("keyed.servers", "i-1", first.entry("pages", "draining"));
+    deployment.await("target left", () -> gotNothingFor(first, 10));
+
+    assertThat(page("entry-2").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void targetThatIsGoneWithoutNoticeCostsNoRequest() throws IOException, InterruptedException {
+    first.close();
+    for (int i = 0; i < 10; i++) {
+      assertThat(page("entry-1").statusCode()).isEqualTo(200);
+      assertThat(deployment.call("entry-2", "POST", "/once/a", "").statusCode()).isEqualTo(200);
+    }
+    deployment.store().put("keyed.servers", "i-1", "");
+    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+  }
+
+  private boolean gotNothingFor(TargetStandIn target, int requests)
+      throws IOException, InterruptedException {
+    int before = target.ran().size();
+    for (int i = 0; i < requests; i++) {
+      page("entry-1");
+      page("entry-2");
+    }
+    return target.ran().size() == before;
+  }
+
+  @Test
+  void plannedStopCutsNoRequestAndIsNotNamedAnyMore() throws IOException, InterruptedException {
+    deployment.process("entry-2").destroy();
+    deployment.await("not ready", () -> deployment.readiness("entry-2") == 503);
+    deployment.await("not named", () -> !isNamed("entry-2"));
+    for (int i = 0; i < 5; i++) {
+      HttpResponse<String> last = page("entry-2");
+      assertThat(last.statusCode()).isEqualTo(200);
+      assertThat(last.headers().firstValue("Connection")).contains("close");
+    }
+
+    assertThat(deployment.process("entry-2").waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(deployment.process("entry-2").exitValue()).isZero();
+    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void killedEntryIsNotNamedAnyMore() throws InterruptedException {
+    deployment.process("entry-2").destroyForcibly();
+
+    deployment.await("not named", () -> !isNamed("entry-2"));
+  }
+
+  @Test
+  void outageOfTheStoreStopsNothing() throws IOException, InterruptedException {
+    deployment.store().setDown(true);
+    IntStream.range(0, 3).forEach(i -> assertThat(pageStatus("entry-1")).isEqualTo(200));
+    deployment.startEntry("entry-3", "127.0.1.3", "127.0.1.1");
+    deployment.await(
+        "an entry that starts in the outage learns from the others",
+        () -> page("entry-3").statusCode() == 200);
+    deployment.publish(9, "pages", "key-2");
+    deployment.store().setDown(false);
+
+    deployment.await("change after the outage", () -> pageStatus("entry-3") == 401);
+  }
+
+  private int pageStatus(String entry) {
+    try {
+      return page(entry).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  @Test
+  void agentTellsEntriesAndMayEndAtAnyTime() throws IOException, InterruptedException {
+    TargetStandIn model = deployment.target("i-9", "127.0.0.9", "models");
+    deployment.startAgent("agent-1", model);
+    deployment.publish(9, "models", "key-1");
+    deployment.await("model serves", () -> page("entry-1").statusCode() == 200);
+    deployment.process("agent-1").destroyForcibly();
+
+    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+    assertThat(page("entry-2").statusCode()).isEqualTo(200);
+  }
+
+  // Sixteen agents end at once and maps stand still. Settings had changed and every process got a
+  // SIGHUP; the agents had no handler, and a process without one ends.
+  @Test
+  void hangUpSignalEndsNoProcess() throws IOException, InterruptedException {
+    TargetStandIn model = deployment.target("i-9", "127.0.0.9", "models");
+    deployment.startAgent("agent-1", model);
+    deployment.await("agent runs", () -> deployment.logOf("agent-1").contains("agent.started"));
+    for (String name : List.of("entry-1", "agent-1")) {
+      deployment.hangUp(name);
+      deployment.await("settings read", () -> deployment.logOf(name).contains("settings.read"));
+      assertThat(deployment.process(name).isAlive()).isTrue();
+    }
+
+    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+  }
+}
