--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -114,8 +114,12 @@
         .flatMap(Service::engine);
   }
 
-  /** Whether any group is led here. */
-  public synchronized boolean isLeading() {
-    return isLeading;
+  /** Returns what this entry wants to know of the ranks now. */
+  public synchronized RankLinks.Watch watch() {
+    if (!isLeading) {
+      return RankLinks.Watch.LOAD;
+    }
+    boolean isSwitching = groups.values().stream().anyMatch(GroupLead::isSwitching);
+    return isSwitching ? RankLinks.Watch.SWITCH : RankLinks.Watch.PICKS;
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -38,10 +38,16 @@
   static final double COPY_MILLIS = 240;
 
   /** Part of the pass that one copied expert has to gain; it costs 15 in 100 while it lasts. */
-  static final double LEAST_GAIN = 0.002;
+  static final double LEAST_GAIN = 0.004;
 
   /** Sets whose most loaded rank is within this of the mean are left alone. */
-  static final double GOOD_SKEW = 1.08;
+  static final double GOOD_SKEW = 1.1;
+
+  /**
+   * No map is made while the pass takes less than this many times the least. The demand of one
+   * window differs that much from the next by chance, so copies for it are in vain.
+   */
+  static final double START_SKEW = 1.25;
 
   /** Bits of a version that tell leaders apart, so that two never give one number to two maps. */
   private static final int SALT_BITS = 10;
@@ -85,6 +91,10 @@
     return size;
   }
 
+  boolean isSwitching() {
+    return mapSwitch.phase() != MapSwitch.Phase.IDLE;
+  }
+
   void onPlace(Target target, RankState.Membership place, long now) {
     byRank.put(place.rank(), target);
     mapSwitch.onView(
@@ -122,6 +132,9 @@
     if (current.isEmpty()) {
       return;
     }
+    if (current.get().skew(demand.tokens()) < START_SKEW) {
+      return;
+    }
     Optional<PlacementPlanner.Plan> plan =
         PlacementPlanner.plan(current.get(), demand.tokens(), limits());
     if (plan.isEmpty()) {
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -37,6 +37,7 @@
   private final AtomicBoolean isReadingState = new AtomicBoolean();
   private final AtomicBoolean isReadingPicks = new AtomicBoolean();
   private volatile RankState lastState;
+  private volatile long lastReadAt;
   private volatile long lastReportAt;
   private volatile long lastPlainReportAt;
   private volatile int lastPlainRequests = -1;
@@ -44,7 +45,7 @@
   private volatile long reportedMapEpoch = -1;
   private volatile boolean isReachable = true;
 
-  private record Watcher(Link link, long until) {}
+  private record Watcher(Link link, long until, boolean isUrgent) {}
 
   public RankAgent(RankEngine engine) {
     this.engine = engine;
@@ -53,10 +54,11 @@
   /** Reads the engine's state and tells it to the entries. To be called often. */
   public void readState() {
     boolean isDue =
-        !watchers.isEmpty() || MonotonicClock.millis() - lastPlainReportAt >= PLAIN_REPORT_MILLIS;
+        !watchers.isEmpty() || MonotonicClock.millis() - lastReadAt >= PLAIN_REPORT_MILLIS;
     if (!isDue || links.isEmpty() || !isReadingState.compareAndSet(false, true)) {
       return;
     }
+    lastReadAt = MonotonicClock.millis();
     engine.state().whenComplete(this::onState);
   }
 
@@ -92,7 +94,7 @@
   @Override
   public void onFrame(Link link, Frame frame) {
     switch (frame.getBodyCase()) {
-      case RANK_WATCH -> onWatch(link);
+      case RANK_WATCH -> onWatch(link, frame.getRankWatch().getUrgent());
       case RANK_ORDER_CALL -> onOrder(link, frame.getRankOrderCall());
       default ->
           logger.atWarning().log(
@@ -105,10 +107,10 @@
     links.remove(link);
   }
 
-  private void onWatch(Link link) {
+  private void onWatch(Link link, boolean isUrgent) {
     boolean isNew = watchers.stream().noneMatch(watcher -> watcher.link().equals(link));
     watchers.removeIf(watcher -> watcher.link().equals(link));
-    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS));
+    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS, isUrgent));
     if (isNew) {
       reportedMapVersion = -1;
     }
--- a/node/src/main/java/dev/ibishub/node/AgentNode.java
+++ b/node/src/main/java/dev/ibishub/node/AgentNode.java
@@ -22,13 +22,13 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Time between two looks at the engine's state while a leader watches, milliseconds; passes take
-   * 45 and more, so hardly one is missed.
+   * Time between two looks at the engine's state while a map is brought in, milliseconds; passes
+   * take 45 and more, so hardly one is missed.
    */
-  private static final long STATE_MILLIS = 50;
+  private static final long STATE_MILLIS = 45;
 
   /** Time between two looks at what its requests chose, milliseconds. */
-  private static final long PICKS_MILLIS = 100;
+  private static final long PICKS_MILLIS = 120;
 
   private AgentNode() {}
 
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -225,8 +225,8 @@
       mesh.tick(now);
       targets.tick(now);
       boolean leads = mesh.leads(now);
-      ranks.tick(engineHosts(), leads, now);
       experts.tick(leads, now);
+      ranks.tick(engineHosts(), experts.watch(), now);
       int turn = mesh.turn(now);
       followers.forEach(follower -> follower.tick(now, turn));
       announce();
