Lead on after a loss of power; settle under an own hold; ways around a silent agent

Each rank also kept its part of the experts however slow it was, and one silent agent held up a switch until its link closed.

--- a/core/src/main/java/dev/ibishub/core/ranks/GroupMap.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/GroupMap.java
@@ -72,15 +72,28 @@
    * Measures the map.
    *
    * @param demand tokens by set and expert
-   * @return how many times the mean the most loaded ranks have, over all sets; 1 at the best
+   * @param slowness time that each rank takes for a token
+   * @return how many times the least time the slowest ranks take, over all sets; 1 at the best
    */
-  public double skew(double[][] demand) {
-    double most =
-        IntStream.range(0, sets())
-            .mapToDouble(set -> Arrays.stream(loads(set, demand[set])).max().orElse(0))
-            .sum();
-    double mean = Arrays.stream(demand).flatMapToDouble(Arrays::stream).sum() / ranks();
-    return mean == 0 ? 1 : most / mean;
+  public double skew(double[][] demand, double[] slowness) {
+    double slowest =
+        IntStream.range(0, sets()).mapToDouble(set -> slowest(set, demand[set], slowness)).sum();
+    double least = Arrays.stream(demand).mapToDouble(ofSet -> leastTime(ofSet, slowness)).sum();
+    return least == 0 ? 1 : slowest / least;
+  }
+
+  private double slowest(int set, double[] demand, double[] slowness) {
+    double[] loads = loads(set, demand);
+    return IntStream.range(0, loads.length)
+        .mapToDouble(rank -> loads[rank] * slowness[rank])
+        .max()
+        .orElse(0);
+  }
+
+  /** The time that all ranks would take if each got tokens by its speed. */
+  static double leastTime(double[] demand, double[] slowness) {
+    double speed = Arrays.stream(slowness).map(each -> 1 / each).sum();
+    return Arrays.stream(demand).sum() / speed;
   }
 
   private static int[][][] copy(int[][][] from) {
--- a/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
@@ -75,6 +75,7 @@
   private long oddSince = NEVER;
   private long quietUntil;
   private boolean isSettling;
+  private boolean canFinish;
 
   /** Where a switch stands. */
   public enum Phase {
@@ -199,7 +200,7 @@
    * @param command the command as {@link #tick} gave it
    */
   public void onResult(RankCommand command, Result result, long now) {
-    if (command.token() != token || command.epoch() != epoch) {
+    if (command.token() != tokenFor(command.kind()) || command.epoch() != epoch) {
       return;
     }
     if (result == Result.FENCED) {
@@ -267,9 +268,7 @@
     return toUnconfirmed(Kind.DISARM, now, REPEAT_MILLIS);
   }
 
-  /** A new token, so that a hold still under way is refused once its rank was told to release. */
   private void startRelease(long now) {
-    token = tokens.next();
     enter(Phase.RELEASING, now);
     for (int rank = 0; rank < ranks; rank++) {
       OptionalLong held = views.get(rank).heldStep();
@@ -347,13 +346,34 @@
             .mapToLong(RankView::armedStep)
             .max()
             .orElse(0);
-    boolean canFinish = armed > 0 && views.values().stream().allMatch(this::canSwitch);
-    boolean isHeld = views.values().stream().anyMatch(view -> view.heldStep().isPresent());
-    if (canFinish && !isHeld) {
-      enter(Phase.HOLDING, now);
-    } else {
-      enter(canFinish ? Phase.ARMING : Phase.DISARMING, now);
+    canFinish = armed > 0 && views.values().stream().allMatch(this::canSwitch);
+    if (armed == 0) {
+      step =
+          views.values().stream()
+              .filter(view -> view.heldStep().isPresent())
+              .mapToLong(view -> view.heldStep().getAsLong())
+              .min()
+              .orElse(0);
     }
+    holder = holderFor(step);
+    enter(Phase.HOLDING, now);
+  }
+
+  /**
+   * Chooses the rank that this leader itself has hold a step, before it changes anything. A rank
+   * that already holds it notes the new token by that, so that the last leader, should it still
+   * run, can't release it while only some ranks have been told the new leader's will.
+   */
+  private int holderFor(long concerned) {
+    return IntStream.range(0, ranks)
+        .filter(rank -> views.get(rank).heldStep().equals(OptionalLong.of(concerned)))
+        .findFirst()
+        .orElseGet(
+            () ->
+                IntStream.range(0, ranks)
+                    .filter(rank -> views.get(rank).heldStep().isEmpty())
+                    .findFirst()
+                    .orElse(0));
   }
 
   private boolean canSwitch(RankView view) {
@@ -380,7 +400,7 @@
       return;
     }
     if (result == Result.DONE) {
-      enter(Phase.ARMING, now);
+      enter(isSettling && !canFinish ? Phase.DISARMING : Phase.ARMING, now);
     } else if (result == Result.CONFLICT && isSettling) {
       enter(Phase.IDLE, now);
     } else if (result == Result.CONFLICT) {
@@ -399,7 +419,6 @@
       confirmed[command.rank()] = true;
     } else if (result == Result.CONFLICT && !confirmed[command.rank()]) {
       // The rank can't switch to this map any more, so none may. The step stays held meanwhile.
-      token = tokens.next();
       enter(Phase.DISARMING, now);
     }
   }
@@ -437,7 +456,20 @@
 
   private RankCommand command(int rank, Kind kind) {
     long concerned = kind == Kind.RELEASE ? triedHold[rank] : step;
-    return new RankCommand(rank, kind, version, concerned, epoch, token);
+    return new RankCommand(rank, kind, version, concerned, epoch, tokenFor(kind));
+  }
+
+  /**
+   * Later commands of one switch have higher tokens, so that an earlier one still under way is
+   * refused once a rank has answered them; all are below those of the next switch of any leader, so
+   * that a leader which was overtaken can't release what its successor holds.
+   */
+  private long tokenFor(Kind kind) {
+    return switch (kind) {
+      case PREPARE, HOLD, ARM -> token;
+      case DISARM -> token + 1;
+      case RELEASE -> token + 2;
+    };
   }
 
   private long newestStep() {
--- a/core/src/main/java/dev/ibishub/core/ranks/PlacementPlanner.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/PlacementPlanner.java
@@ -34,10 +34,12 @@
    *
    * @param current the map in use
    * @param demand tokens by set and expert
+   * @param slowness time that each rank takes for a token, 1 for the usual time
    * @param limits what the plan has to keep
-   * @return the plan, or empty when no copy gains enough
+   * @return the plan, or empty when no change gains enough
    */
-  public static Optional<Plan> plan(GroupMap current, double[][] demand, PlacementLimits limits) {
+  public static Optional<Plan> plan(
+      GroupMap current, double[][] demand, double[] slowness, PlacementLimits limits) {
     int ranks = current.ranks();
     int[][][] experts = current.experts();
     int[] fetchedByRank = new int[ranks];
@@ -51,9 +53,11 @@
     double leastGain = limits.leastGain() * total / ranks;
     SetPlan[] sets =
         IntStream.range(0, experts.length)
-            .mapToObj(set -> new SetPlan(experts[set], demand[set], limits, fetchedByRank))
+            .mapToObj(
+                set -> new SetPlan(experts[set], demand[set], slowness, limits, fetchedByRank))
             .toArray(SetPlan[]::new);
     int fetches = 0;
+    boolean isChanged = false;
     boolean moved = true;
     while (moved) {
       Optional<SetPlan> best =
@@ -61,14 +65,17 @@
               .mapToObj(set -> sets[set])
               .filter(set -> set.best(HEAVY_RANKS_TRIED).gain() > leastGain)
               .max(Comparator.comparingDouble(set -> set.best(HEAVY_RANKS_TRIED).gain()));
-      best.ifPresent(SetPlan::applyBest);
       moved = best.isPresent();
-      fetches += moved ? 1 : 0;
+      isChanged |= moved;
+      fetches +=
+          best.filter(set -> set.needsFetch(set.best(HEAVY_RANKS_TRIED))).isPresent() ? 1 : 0;
+      best.ifPresent(SetPlan::applyBest);
     }
-    if (fetches == 0) {
+    if (!isChanged) {
       return Optional.empty();
     }
     GroupMap map = GroupMap.of(Arrays.stream(sets).map(SetPlan::experts).toArray(int[][][]::new));
-    return Optional.of(new Plan(map, fetches, current.skew(demand), map.skew(demand)));
+    return Optional.of(
+        new Plan(map, fetches, current.skew(demand, slowness), map.skew(demand, slowness)));
   }
 }
--- a/core/src/main/java/dev/ibishub/core/ranks/SetPlan.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/SetPlan.java
@@ -11,6 +11,7 @@
 
   private final int ranks;
   private final double[] demand;
+  private final double[] slowness;
   private final PlacementLimits limits;
   private final int[] fetchedByRank;
   private final boolean[][] holds;
@@ -20,22 +21,28 @@
   private final int[] fetched;
   private final double[] load;
   private final double mean;
-  private Copy best;
+  private Change best;
   private long bestFor = NONE;
 
   /**
-   * A copy of one expert to one rank.
+   * A change of what one rank holds.
    *
-   * @param expert the expert
-   * @param to the rank that gets it
-   * @param instead the expert that this rank gives up for it, or {@link #NONE}
-   * @param gain how many tokens less the heavy ranks have
+   * @param expert the expert that it gets, or {@link #NONE}
+   * @param to the rank
+   * @param instead the expert that it gives up, or {@link #NONE}
+   * @param gain how much less time the heavy ranks take
    */
-  record Copy(int expert, int to, int instead, double gain) {}
+  record Change(int expert, int to, int instead, double gain) {}
 
-  SetPlan(int[][] experts, double[] demand, PlacementLimits limits, int[] fetchedByRank) {
+  SetPlan(
+      int[][] experts,
+      double[] demand,
+      double[] slowness,
+      PlacementLimits limits,
+      int[] fetchedByRank) {
     this.ranks = experts.length;
     this.demand = demand;
+    this.slowness = slowness;
     this.limits = limits;
     this.fetchedByRank = fetchedByRank;
     this.holds = new boolean[ranks][demand.length];
@@ -51,7 +58,7 @@
       }
     }
     this.heldBefore = Arrays.stream(holds).map(boolean[]::clone).toArray(boolean[][]::new);
-    this.mean = Arrays.stream(demand).sum() / ranks;
+    this.mean = GroupMap.leastTime(demand, slowness);
     computeLoads();
   }
 
@@ -65,8 +72,9 @@
     return experts;
   }
 
-  /** Finds the copy that helps most; its gain is 0 when none does. */
-  Copy best(int heavyRanks) {
+  /** Finds the change that helps most; its gain is 0 when none does. */
+  Change best(int heavyRanks) {
+    // What other sets fetch counts against the same limit of a rank.
     long fetchedInAll = Arrays.stream(fetchedByRank).sum();
     if (bestFor != fetchedInAll) {
       bestFor = fetchedInAll;
@@ -76,27 +84,38 @@
   }
 
   void applyBest() {
-    Copy copy = best;
-    if (copy.instead() != NONE) {
-      holds[copy.to()][copy.instead()] = false;
-      holders[copy.instead()]--;
-      held[copy.to()]--;
+    Change change = best;
+    if (change.instead() != NONE) {
+      holds[change.to()][change.instead()] = false;
+      holders[change.instead()]--;
+      held[change.to()]--;
     }
-    holds[copy.to()][copy.expert()] = true;
-    holders[copy.expert()]++;
-    held[copy.to()]++;
-    if (!heldBefore[copy.to()][copy.expert()]) {
-      fetched[copy.to()]++;
-      fetchedByRank[copy.to()]++;
+    if (change.expert() != NONE) {
+      take(change.to(), change.expert());
     }
     bestFor = NONE;
     computeLoads();
   }
 
-  private Copy find(int heavyRanks) {
-    Copy found = new Copy(NONE, NONE, NONE, 0);
+  /** Whether a change has to be copied to its rank. */
+  boolean needsFetch(Change change) {
+    return change.expert() != NONE && !heldBefore[change.to()][change.expert()];
+  }
+
+  private void take(int rank, int expert) {
+    holds[rank][expert] = true;
+    holders[expert]++;
+    held[rank]++;
+    if (!heldBefore[rank][expert]) {
+      fetched[rank]++;
+      fetchedByRank[rank]++;
+    }
+  }
+
+  private Change find(int heavyRanks) {
+    Change found = new Change(NONE, NONE, NONE, 0);
     double before = norm(load);
-    if (mean <= 0 || Arrays.stream(load).max().orElse(0) <= limits.goodSkew() * mean) {
+    if (mean <= 0 || slowest() <= limits.goodSkew() * mean) {
       return found;
     }
     int[] heavy = heaviest(heavyRanks);
@@ -106,8 +125,14 @@
         if (!holds[rank][expert] || demand[expert] == 0) {
           continue;
         }
+        if (holders[expert] > 1) {
+          // Costs no copy: the others that hold the expert take its tokens over. A slow rank is
+          // relieved of an expert by a copy elsewhere and then this.
+          double gain = before - normAfter(NONE, rank, expert, after);
+          found = gain > found.gain() ? new Change(NONE, rank, expert, gain) : found;
+        }
         for (int to = 0; to < ranks; to++) {
-          if (mayFetch(to, expert) && load[to] < load[rank]) {
+          if (mayFetch(to, expert) && time(to) < time(rank)) {
             found = better(found, expert, to, before, after);
           }
         }
@@ -116,17 +141,17 @@
     return found;
   }
 
-  private Copy better(Copy found, int expert, int to, double before, double[] after) {
+  private Change better(Change found, int expert, int to, double before, double[] after) {
     if (held[to] < limits.placesPerRank()) {
       double gain = before - normAfter(expert, to, NONE, after);
-      return gain > found.gain() ? new Copy(expert, to, NONE, gain) : found;
+      return gain > found.gain() ? new Change(expert, to, NONE, gain) : found;
     }
-    Copy bestSoFar = found;
+    Change bestSoFar = found;
     for (int instead = 0; instead < demand.length; instead++) {
       if (holds[to][instead] && holders[instead] > 1) {
         double gain = before - normAfter(expert, to, instead, after);
         if (gain > bestSoFar.gain()) {
-          bestSoFar = new Copy(expert, to, instead, gain);
+          bestSoFar = new Change(expert, to, instead, gain);
         }
       }
     }
@@ -141,14 +166,16 @@
 
   private double normAfter(int expert, int to, int instead, double[] after) {
     System.arraycopy(load, 0, after, 0, ranks);
-    double share = demand[expert] / holders[expert];
-    double newShare = demand[expert] / (holders[expert] + 1);
-    for (int rank = 0; rank < ranks; rank++) {
-      if (holds[rank][expert]) {
-        after[rank] += newShare - share;
+    if (expert != NONE) {
+      double share = demand[expert] / holders[expert];
+      double newShare = demand[expert] / (holders[expert] + 1);
+      for (int rank = 0; rank < ranks; rank++) {
+        if (holds[rank][expert]) {
+          after[rank] += newShare - share;
+        }
       }
+      after[to] += newShare;
     }
-    after[to] += newShare;
     if (instead != NONE) {
       double given = demand[instead] / holders[instead];
       double rest = demand[instead] / (holders[instead] - 1);
@@ -164,8 +191,8 @@
   /** Close to the maximum, but falls when any heavy rank is relieved: the norm of order 16. */
   private double norm(double[] loads) {
     double sum = 0;
-    for (double each : loads) {
-      double relative = each / mean;
+    for (int rank = 0; rank < ranks; rank++) {
+      double relative = loads[rank] * slowness[rank] / mean;
       double square = relative * relative;
       double fourth = square * square;
       double eighth = fourth * fourth;
@@ -177,12 +204,20 @@
   private int[] heaviest(int number) {
     return IntStream.range(0, ranks)
         .boxed()
-        .sorted((a, b) -> Double.compare(load[b], load[a]))
+        .sorted((a, b) -> Double.compare(time(b), time(a)))
         .limit(number)
         .mapToInt(Integer::intValue)
         .toArray();
   }
 
+  private double time(int rank) {
+    return load[rank] * slowness[rank];
+  }
+
+  private double slowest() {
+    return IntStream.range(0, ranks).mapToDouble(this::time).max().orElse(0);
+  }
+
   private void computeLoads() {
     Arrays.fill(load, 0);
     for (int rank = 0; rank < ranks; rank++) {
--- a/core/src/test/java/dev/ibishub/core/ranks/MapSwitchHistoryTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/MapSwitchHistoryTest.java
@@ -37,7 +37,8 @@
 
     @Override
     public long next() {
-      last = Math.max(last + 1, (group.now() + clockError + raised + 5_000) * 100);
+      last =
+          Math.max(last + 64, (group.now() + clockError + raised + 5_000) * 64 + salt * PER_SWITCH);
       return last;
     }
 
--- a/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
@@ -14,6 +14,7 @@
   private static final int RANKS = 16;
   private static final int SETS = 4;
   private static final int EXPERTS = 64;
+  private static final double[] EVEN = IntStream.range(0, RANKS).mapToDouble(i -> 1).toArray();
   private static final PlacementLimits LIMITS = new PlacementLimits(5, 2, 2, 0.002, 1.08);
 
   private static GroupMap inTurn() {
@@ -41,7 +42,8 @@
   void plansKeepAllLimits(long seed) {
     GroupMap current = inTurn();
 
-    PlacementPlanner.Plan plan = PlacementPlanner.plan(current, demand(seed), LIMITS).orElseThrow();
+    PlacementPlanner.Plan plan =
+        PlacementPlanner.plan(current, demand(seed), EVEN, LIMITS).orElseThrow();
 
     assertThat(plan.map().holdsAll(EXPERTS)).as("seed %d", seed).isTrue();
     for (int rank = 0; rank < RANKS; rank++) {
@@ -58,11 +60,14 @@
     double[][] demand = demand(seed);
     GroupMap map = inTurn();
     for (int round = 0; round < 3; round++) {
-      map = PlacementPlanner.plan(map, demand, LIMITS).map(PlacementPlanner.Plan::map).orElse(map);
+      map =
+          PlacementPlanner.plan(map, demand, EVEN, LIMITS)
+              .map(PlacementPlanner.Plan::map)
+              .orElse(map);
     }
 
-    assertThat(inTurn().skew(demand)).isGreaterThan(1.6);
-    assertThat(map.skew(demand)).as("seed %d", seed).isLessThan(1.2);
+    assertThat(inTurn().skew(demand, EVEN)).isGreaterThan(1.6);
+    assertThat(map.skew(demand, EVEN)).as("seed %d", seed).isLessThan(1.2);
   }
 
   @Test
@@ -70,11 +75,29 @@
     double[][] even = new double[SETS][EXPERTS];
     Arrays.stream(even).forEach(set -> Arrays.fill(set, 3));
 
-    assertThat(PlacementPlanner.plan(inTurn(), even, LIMITS)).isEqualTo(Optional.empty());
+    assertThat(PlacementPlanner.plan(inTurn(), even, EVEN, LIMITS)).isEqualTo(Optional.empty());
   }
 
   @Test
   void noDemandMovesNothing() {
-    assertThat(PlacementPlanner.plan(inTurn(), new double[SETS][EXPERTS], LIMITS)).isEmpty();
+    assertThat(PlacementPlanner.plan(inTurn(), new double[SETS][EXPERTS], EVEN, LIMITS)).isEmpty();
+  }
+
+  // Every stream of the group stutters. One rank turned slow and kept its part of the experts, and
+  // ranks step together, so each pass waited for it.
+  @Test
+  void slowRankGetsFewerTokens() {
+    double[][] demand = demand(4);
+    double[] slowness = EVEN.clone();
+    slowness[3] = 3;
+    GroupMap map = inTurn();
+    for (int round = 0; round < 4; round++) {
+      map =
+          PlacementPlanner.plan(map, demand, slowness, LIMITS)
+              .map(PlacementPlanner.Plan::map)
+              .orElse(map);
+    }
+
+    assertThat(map.skew(demand, slowness)).isLessThan(0.6 * inTurn().skew(demand, slowness));
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 
 /**
@@ -24,6 +25,7 @@
   private final TargetDirectory targets;
   private final Supplier<Optional<ServingConfiguration>> configuration;
   private final Map<String, GroupLead> groups = new HashMap<>();
+  private final Map<String, RankEngine.HeldMap> held = new HashMap<>();
   private final RankOrders orders;
   private final FencingTokens tokens;
   private final InstantSource clock;
@@ -44,7 +46,7 @@
     this.configuration = configuration;
     this.orders = orders;
     this.clock = clock;
-    this.tokens = new FencingTokens(clock);
+    this.tokens = new FencingTokens(clock, ThreadLocalRandom.current().nextLong());
   }
 
   /**
@@ -77,7 +79,8 @@
     GroupLead known = groups.get(place.group());
     if (known == null || known.size() != place.size()) {
       known =
-          new GroupLead(place.group(), place.size(), profile.get(), orders, tokens, clock, this);
+          new GroupLead(
+              place.group(), place.size(), profile.get(), orders, tokens, clock, held, this);
       groups.put(place.group(), known);
       logger.atInfo().log(
           "%s",
@@ -87,7 +90,7 @@
               .with("epoch", place.epoch())
               .with("map", place.mapVersion()));
     }
-    known.onPlace(target.get(), place, now);
+    known.onPlace(target.get(), state.pace(), place, now);
   }
 
   @Override
@@ -97,7 +100,9 @@
 
   @Override
   public synchronized void onMap(String host, RankEngine.HeldMap map) {
-    groups.values().forEach(group -> group.onMap(host, map));
+    // Kept by host: an agent tells a map once, and may do so before its first report says which
+    // group it belongs to.
+    held.put(host, map);
   }
 
   private Optional<Target> engineAt(String host) {
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/FencingTokens.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/FencingTokens.java
@@ -9,24 +9,34 @@
  * than they usually do. Thread-safe by one lock.
  */
 final class FencingTokens implements TokenSource {
-  /** Tokens of one millisecond. */
-  private static final long PER_MILLI = 256;
+  /** Leaders that can begin a switch in one millisecond without the same token. */
+  private static final long SALTS = 64;
+
+  private static final long PER_MILLI = SALTS * PER_SWITCH;
 
   /** How far a leader that was refused moves ahead at first, doubling, milliseconds. */
   private static final long FIRST_RAISE_MILLIS = 2_000;
 
   private final InstantSource clock;
+  private final long salt;
   private long last;
   private long raiseMillis = FIRST_RAISE_MILLIS;
   private long aheadMillis;
 
-  FencingTokens(InstantSource clock) {
+  /**
+   * Creates a source.
+   *
+   * @param salt any number; different ones of two leaders keep their tokens apart
+   */
+  FencingTokens(InstantSource clock, long salt) {
     this.clock = clock;
+    this.salt = Math.floorMod(salt, SALTS);
   }
 
   @Override
   public synchronized long next() {
-    last = Math.max(last + 1, (clock.millis() + aheadMillis) * PER_MILLI);
+    long ofNow = (clock.millis() + aheadMillis) * PER_MILLI + salt * PER_SWITCH;
+    last = Math.max(last + PER_MILLI, ofNow);
     return last;
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -15,8 +15,10 @@
 import dev.ibishub.runtime.MonotonicClock;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.IntStream;
@@ -49,6 +51,12 @@
    */
   static final double START_SKEW = 1.25;
 
+  /**
+   * Part of the ranks whose counts have to be known. The demand is the same at all of them, so a
+   * map can be made while an agent is away.
+   */
+  static final double LEAST_RANKS_KNOWN = 0.6;
+
   /** Bits of a version that tell leaders apart, so that two never give one number to two maps. */
   private static final int SALT_BITS = 10;
 
@@ -61,7 +69,8 @@
   private final MapSwitch mapSwitch;
   private final ExpertDemand demand;
   private final Map<Integer, Target> byRank = new HashMap<>();
-  private final Map<Integer, RankEngine.HeldMap> held = new HashMap<>();
+  private final Map<Integer, Double> paces = new HashMap<>();
+  private final Map<String, RankEngine.HeldMap> heldByHost;
   private final long salt = ThreadLocalRandom.current().nextLong(1L << SALT_BITS);
   private Optional<GroupMap> planned = Optional.empty();
   private long plannedVersion;
@@ -76,12 +85,14 @@
       RankOrders orders,
       TokenSource tokens,
       InstantSource clock,
+      Map<String, RankEngine.HeldMap> heldByHost,
       Object lock) {
     this.group = group;
     this.size = size;
     this.profile = profile;
     this.orders = orders;
     this.clock = clock;
+    this.heldByHost = heldByHost;
     this.lock = lock;
     this.mapSwitch = new MapSwitch(size, tokens);
     this.demand = new ExpertDemand(profile.layers(), profile.experts(), WINDOW_MILLIS);
@@ -95,8 +106,9 @@
     return mapSwitch.phase() != MapSwitch.Phase.IDLE;
   }
 
-  void onPlace(Target target, RankState.Membership place, long now) {
+  void onPlace(Target target, double pace, RankState.Membership place, long now) {
     byRank.put(place.rank(), target);
+    paces.put(place.rank(), pace);
     mapSwitch.onView(
         place.rank(),
         new RankView(
@@ -115,12 +127,8 @@
     rankAt(host).ifPresent(rank -> demand.onCounts(rank, picks.epoch(), picks.counts(), now));
   }
 
-  void onMap(String host, RankEngine.HeldMap map) {
-    rankAt(host).ifPresent(rank -> held.put(rank, map));
-  }
-
   void tick(long now) {
-    if (mapSwitch.isReady(now) && demand.ranksKnown() == size) {
+    if (mapSwitch.isReady(now) && demand.ranksKnown() >= LEAST_RANKS_KNOWN * size) {
       plan(now);
     }
     mapSwitch.tick(now).forEach(this::send);
@@ -132,11 +140,12 @@
     if (current.isEmpty()) {
       return;
     }
-    if (current.get().skew(demand.tokens()) < START_SKEW) {
+    double[] slowness = slowness();
+    if (current.get().skew(demand.tokens(), slowness) < START_SKEW) {
       return;
     }
     Optional<PlacementPlanner.Plan> plan =
-        PlacementPlanner.plan(current.get(), demand.tokens(), limits());
+        PlacementPlanner.plan(current.get(), demand.tokens(), slowness, limits());
     if (plan.isEmpty()) {
       return;
     }
@@ -158,6 +167,12 @@
             .with("plan_ms", MonotonicClock.millis() - now));
   }
 
+  private double[] slowness() {
+    return IntStream.range(0, size)
+        .mapToDouble(rank -> Math.max(1, paces.getOrDefault(rank, 1.0)))
+        .toArray();
+  }
+
   private PlacementLimits limits() {
     double fetchMillis = Math.max(1, profile.fetchMillis());
     return new PlacementLimits(
@@ -175,24 +190,21 @@
       return planned;
     }
     long epoch = mapSwitch.epoch();
-    boolean isTold =
+    List<RankEngine.HeldMap> held =
         IntStream.range(0, size)
-            .allMatch(
-                rank ->
-                    held.containsKey(rank)
-                        && held.get(rank).version() == version
-                        && held.get(rank).epoch() == epoch
-                        && held.get(rank).experts().length == profile.layers());
-    if (!isTold) {
+            .mapToObj(byRank::get)
+            .filter(Objects::nonNull)
+            .map(target -> heldByHost.get(target.host()))
+            .filter(Objects::nonNull)
+            .filter(map -> map.version() == version && map.epoch() == epoch)
+            .filter(map -> map.experts().length == profile.layers())
+            .toList();
+    if (held.size() < size) {
       return Optional.empty();
     }
     int[][][] experts =
         IntStream.range(0, profile.layers())
-            .mapToObj(
-                set ->
-                    IntStream.range(0, size)
-                        .mapToObj(rank -> held.get(rank).experts()[set])
-                        .toArray(int[][]::new))
+            .mapToObj(set -> held.stream().map(map -> map.experts()[set]).toArray(int[][]::new))
             .toArray(int[][][]::new);
     return Optional.of(GroupMap.of(experts)).filter(map -> map.holdsAll(profile.experts()));
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -128,6 +128,11 @@
     return Optional.of(reply);
   }
 
+  /** Whether there is a link to the agent at a host. */
+  public boolean isLinked(String host) {
+    return linkTo(host).isPresent();
+  }
+
   @Override
   public void onOpen(Link link) {
     logger.atInfo().log("%s", LogEvent.of("agent.linked").with("agent", link.peer().processId()));
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -82,6 +82,11 @@
     call.cancel();
   }
 
+  /** Whether the target has begun to answer. */
+  boolean isAnswering() {
+    return answer != null;
+  }
+
   void setReading(boolean reading) {
     call.setReading(reading);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
@@ -206,7 +206,8 @@
     }
     FullHttpRequest request = ahead.pollFirst();
     channelContext.channel().config().setAutoRead(true);
-    CallerAnswer answer = new CallerAnswer(channelContext.channel(), request, context.isLeaving());
+    CallerAnswer answer =
+        new CallerAnswer(channelContext.channel(), request, context.stop()::isLeaving);
     inFlight.incrementAndGet();
     exchange =
         new Exchange(
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.serving.AttemptOutcome;
+import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.core.serving.RetryRule;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.gateway.model.EngineProfile;
@@ -59,6 +60,16 @@
   /** Until a retry may help when there is no target at all, milliseconds. */
   private static final long NO_TARGET_RETRY_MILLIS = 500;
 
+  /** Until a caller should go to another entry, milliseconds; there it is served at once. */
+  private static final long LEAVING_RETRY_MILLIS = 10;
+
+  /**
+   * How long a page may take before another target is asked, milliseconds. Pages take 60 to 90 and
+   * hardly one in a hundred more than this; a target that swallows requests otherwise costs the
+   * caller the whole time of the route.
+   */
+  private static final long PAGE_SILENCE_MILLIS = 260;
+
   /** Least and most time until a refused caller comes back; spreads their return. Milliseconds. */
   private static final long FULL_RETRY_MILLIS = 250;
 
@@ -136,6 +147,10 @@
         Optional.ofNullable(configuration.get().services().get(service)).flatMap(Service::engine);
     deadline =
         arrivedAt + Math.min(route.timeoutMillis(), caller.waitMillis().orElse(Long.MAX_VALUE));
+    if (context.stop().mayCut(deadline)) {
+      refuse(ResultCode.ENTRY_LEAVING, LEAVING_RETRY_MILLIS);
+      return;
+    }
     rule = new RetryRule(route.kind(), route.maximumRuns());
     lastEventId = caller.lastEventId();
     timer =
@@ -193,6 +208,18 @@
     attempt =
         AttemptRelay.start(
             loop, context.dialect(), address, targetRequest(now), new RelayListener());
+    if (route.kind() == RequestKind.IDEMPOTENT && engine.isEmpty()) {
+      AttemptRelay watched = attempt;
+      loop.schedule(() -> onSilence(watched), PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Gives a silent target up for another one, where the request may run at one more. */
+  private void onSilence(AttemptRelay watched) {
+    boolean isStillSilent = !isOver && watched.equals(attempt) && !watched.isAnswering();
+    if (isStillSilent && rule.allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends)) {
+      onAttemptFailed(AttemptOutcome.BROKEN, "no answer in time", Optional.empty());
+    }
   }
 
   private Optional<TargetDirectory.Known> choose(List<TargetDirectory.Known> usable, long now) {
@@ -368,6 +395,9 @@
       return;
     }
     boolean mayHaveRun = runs > 0 || attempt != null;
+    if (attempt != null && !attempt.isAnswering()) {
+      target.load().onAnswer(false, MonotonicClock.millis());
+    }
     end(
         mayHaveRun ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.DEADLINE_UNREACHABLE,
         mayHaveRun ? 0 : FULL_RETRY_MILLIS,
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -3,7 +3,6 @@
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -15,7 +14,7 @@
  * @param targets the targets
  * @param budgets the retry budgets
  * @param entries how many entries share the targets, 1 or more
- * @param isLeaving whether this process is about to stop
+ * @param stop whether and when this process stops
  * @param metrics what is counted
  */
 public record RequestContext(
@@ -24,7 +23,7 @@
     TargetDirectory targets,
     RetryBudgets budgets,
     IntSupplier entries,
-    BooleanSupplier isLeaving,
+    StopPlan stop,
     RequestMetrics metrics) {
 
   CallerLimits limits() {
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -4,7 +4,7 @@
 import com.google.protobuf.ByteString;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.RankLinks;
-import dev.ibishub.gateway.experts.RankOrders;
+import dev.ibishub.gateway.experts.RankPaths;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
@@ -94,7 +94,8 @@
   private final CallerServer server;
   private final ExpertController experts;
   private final RankLinks ranks;
-  private volatile boolean isLeaving;
+  private final RankPaths paths;
+  private final GracefulStop stop;
   private volatile boolean isListening;
   private boolean isAnnounced;
 
@@ -104,6 +105,7 @@
     HttpCaller caller = new HttpCaller(group);
     NodeMetrics metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
     targets = new TargetDirectory(settings.zone());
+    stop = new GracefulStop(settings);
     store =
         new StoreClient(
             caller, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
@@ -128,19 +130,24 @@
                 settings.linkPort(),
                 settings.callerAddress().orElseThrow(),
                 this::isReady,
-                () -> isLeaving),
+                stop::isLeaving),
             transport,
             () -> known().map(RecordFollower::snapshot).flatMap(Optional::stream).toList(),
             () -> known().map(RecordFollower::topic).toList(),
             this::onProgress);
-    RankOrders orders =
-        (target, order) ->
-            ranks()
-                .order(target.host(), order)
-                .orElseGet(
-                    () -> new EngineClient(caller, target.host(), target.port()).order(order));
-    experts = new ExpertController(targets, configuration::get, orders, InstantSource.system());
+    experts =
+        new ExpertController(
+            targets,
+            configuration::get,
+            (target, order) -> paths().give(target, order),
+            InstantSource.system());
     ranks = new RankLinks(transport, settings.linkPort(), targets, experts);
+    paths =
+        new RankPaths(
+            ranks,
+            target -> new EngineClient(caller, target.host(), target.port()),
+            targets,
+            experts);
     server =
         new CallerServer(
             new RequestContext(
@@ -152,7 +159,7 @@
                     settings.sharedRetryAllowance(),
                     TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds())),
                 () -> mesh.entries(MonotonicClock.millis()),
-                () -> isLeaving,
+                stop,
                 new RequestMetrics(PrometheusRegistry.defaultRegistry)));
   }
 
@@ -195,7 +202,7 @@
           new InetSocketAddress(settings.host(), settings.metricsPort()),
           new MetricsText(PrometheusRegistry.defaultRegistry));
     }
-    StopSignals.onStop(() -> new GracefulStop(settings, server, () -> isLeaving = true).run());
+    StopSignals.onStop(() -> stop.run(server));
     new SettingsWatch(file, settings).start(ticker);
   }
 
@@ -214,7 +221,7 @@
 
   private boolean isReady() {
     return isListening
-        && !isLeaving
+        && !stop.isLeaving()
         && configuration.get().isPresent()
         && followers.get(1).isKnown();
   }
@@ -225,8 +232,12 @@
       mesh.tick(now);
       targets.tick(now);
       boolean leads = mesh.leads(now);
+      Set<String> engineHosts = engineHosts();
       experts.tick(leads, now);
-      ranks.tick(engineHosts(), experts.watch(), now);
+      ranks.tick(engineHosts, experts.watch(), now);
+      if (leads) {
+        paths.lookAround(engineHosts, now);
+      }
       int turn = mesh.turn(now);
       followers.forEach(follower -> follower.tick(now, turn));
       announce();
@@ -235,8 +246,8 @@
     }
   }
 
-  private RankLinks ranks() {
-    return ranks;
+  private RankPaths paths() {
+    return paths;
   }
 
   /** IP numbers of targets that are model engines; an agent may stand beside each. */
