--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -82,6 +82,7 @@
   private final Runnable onDone;
   private final CallerRequest caller;
   private final long arrivedAt = MonotonicClock.millis();
+  private final PauseWatch pauses = new PauseWatch(arrivedAt);
   private final Set<String> tried = new HashSet<>();
 
   private Route route;
@@ -304,8 +305,8 @@
 
     @Override
     public void onWhole(int status, HttpHeaders headers, byte[] body) {
+      pauses.onPiece(MonotonicClock.millis());
       onGoodAnswer();
-      context.metrics().onFirstPiece(service, MonotonicClock.millis() - arrivedAt);
       answer.whole(status, headers, body);
       done("ok");
     }
@@ -313,7 +314,6 @@
     @Override
     public void onBegin(int status, HttpHeaders headers) {
       if (!answer.isBegun()) {
-        context.metrics().onFirstPiece(service, MonotonicClock.millis() - arrivedAt);
         answer.begin(status, headers);
       }
     }
@@ -323,6 +323,7 @@
       if (eventId.isPresent()) {
         lastEventId = eventId;
       }
+      pauses.onPiece(MonotonicClock.millis());
       answer.part(bytes);
       if (!answer.isWritable()) {
         attempt.setReading(false);
@@ -345,6 +346,18 @@
 
   private void onGoodAnswer() {
     target.load().onAnswer(true, MonotonicClock.millis());
+    context.metrics().onAnswered(service, pauses.firstPieceMillis(), pauses.longestPauseMillis());
+    if (pauses.isLate(route.aimMillis(), route.longestPauseMillis())) {
+      log(
+          "request.late",
+          ResultCode.OK,
+          "first piece after %d ms of %d, longest pause %d ms of %d"
+              .formatted(
+                  pauses.firstPieceMillis(),
+                  route.aimMillis(),
+                  pauses.longestPauseMillis(),
+                  route.longestPauseMillis()));
+    }
     endAttempt("ok");
   }
 
@@ -468,8 +481,19 @@
             .with("service", service)
             .with("configuration", configurationVersion)
             .with("target", target == null ? "" : target.target().id())
+            .with("load", target == null ? "" : loadOfTarget())
             .with("sends", sends)
             .with("after_ms", MonotonicClock.millis() - arrivedAt)
             .with("cause", cause));
   }
+
+  /** What is believed of the target's load, and whether by its own word. */
+  private String loadOfTarget() {
+    long now = MonotonicClock.millis();
+    int entries = context.entries().getAsInt();
+    return "%.0f %s"
+        .formatted(
+            target.load().requests(now, entries),
+            target.load().hasReport(now) ? "reported" : "estimated");
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestMetrics.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestMetrics.java
@@ -9,6 +9,7 @@
   private final Counter requests;
   private final Counter attempts;
   private final Histogram firstPiece;
+  private final Histogram longestPause;
 
   /**
    * Creates the metrics.
@@ -36,6 +37,14 @@
             .classicOnly()
             .classicUpperBounds(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8)
             .register(registry);
+    longestPause =
+        Histogram.builder()
+            .name("ibishub_longest_pause_seconds")
+            .help("Longest pause between two pieces of an answer, by service.")
+            .labelNames("service")
+            .classicOnly()
+            .classicUpperBounds(0.06, 0.08, 0.1, 0.12, 0.15, 0.2, 0.4, 1, 2)
+            .register(registry);
   }
 
   void onRequestEnded(String service, String result) {
@@ -46,7 +55,8 @@
     attempts.labelValues(service, outcome).inc();
   }
 
-  void onFirstPiece(String service, long millis) {
-    firstPiece.labelValues(service).observe(millis / 1_000.0);
+  void onAnswered(String service, long firstPieceMillis, long longestPauseMillis) {
+    firstPiece.labelValues(service).observe(firstPieceMillis / 1_000.0);
+    longestPause.labelValues(service).observe(longestPauseMillis / 1_000.0);
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/model/Route.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/Route.java
@@ -12,6 +12,10 @@
  * @param pathPrefix what their path begins with
  * @param kind what may be done with a request that failed
  * @param timeoutMillis the longest that a caller is kept waiting, milliseconds
+ * @param aimMillis the time within which the first piece of an answer is wanted, milliseconds; 0
+ *     for none
+ * @param longestPauseMillis the longest pause between two pieces of a stream that is wanted,
+ *     milliseconds; 0 for none
  * @param priority rank of its requests, 0 first
  * @param destinations the services that share the requests, by weight; not empty
  * @param maximumRuns the most targets at which one request may run
@@ -23,6 +27,8 @@
     String pathPrefix,
     RequestKind kind,
     long timeoutMillis,
+    long aimMillis,
+    long longestPauseMillis,
     int priority,
     List<Destination> destinations,
     int maximumRuns,
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -82,6 +82,8 @@
         kind,
         PATIENCE_MILLIS,
         0,
+        0,
+        0,
         List.of(new Route.Destination("s", 1)),
         1,
         false);
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -87,6 +87,7 @@
   private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
   private final ConfigurationState configuration = new ConfigurationState();
   private final TargetDirectory targets;
+  private final NodeMetrics metrics;
   private final StoreClient store;
   private final List<RecordFollower> followers;
   private final PeerMesh mesh;
@@ -103,7 +104,7 @@
     this.settings = settings;
     InetSocketAddress storeAddress = Sockets.address(settings.storeAddress().orElseThrow());
     HttpCaller caller = new HttpCaller(group);
-    NodeMetrics metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
+    metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
     targets = new TargetDirectory(settings.zone());
     stop = new GracefulStop(settings);
     store =
@@ -200,7 +201,7 @@
       PageServer.listen(
           group,
           new InetSocketAddress(settings.host(), settings.metricsPort()),
-          new MetricsText(PrometheusRegistry.defaultRegistry));
+          new MetricsText(PrometheusRegistry.defaultRegistry, this::updateMetrics));
     }
     StopSignals.onStop(() -> stop.run(server));
     new SettingsWatch(file, settings).start(ticker);
@@ -267,6 +268,15 @@
         .collect(Collectors.toSet());
   }
 
+  private void updateMetrics() {
+    long now = MonotonicClock.millis();
+    followers.forEach(follower -> metrics.onAge(follower.topic(), follower.ageMillis(now)));
+    metrics.onState(
+        configuration.get().map(ServingConfiguration::version).orElse(0L),
+        mesh.entries(now),
+        mesh.leads(now));
+  }
+
   /** Tells entries that share no seed with this one where it is, once. */
   private void announce() {
     if (isAnnounced || !isReady()) {
--- a/node/src/main/java/dev/ibishub/node/MetricsText.java
+++ b/node/src/main/java/dev/ibishub/node/MetricsText.java
@@ -15,15 +15,23 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final PrometheusRegistry registry;
+  private final Runnable update;
   private final PrometheusTextFormatWriter writer =
       PrometheusTextFormatWriter.builder().setIncludeCreatedTimestamps(false).build();
 
-  MetricsText(PrometheusRegistry registry) {
+  /**
+   * Creates the page.
+   *
+   * @param update brings gauges up to date, before each reading
+   */
+  MetricsText(PrometheusRegistry registry, Runnable update) {
     this.registry = registry;
+    this.update = update;
   }
 
   @Override
   public Page apply(String target) {
+    update.run();
     ByteArrayOutputStream text = new ByteArrayOutputStream();
     try {
       writer.write(text, registry.scrape());
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -1,13 +1,40 @@
 package dev.ibishub.node;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /** What a process counts besides requests. Thread-safe. */
 final class NodeMetrics {
   private final Counter storeCalls;
 
+  private final Gauge age;
+  private final Gauge version;
+  private final Gauge entries;
+  private final Gauge leading;
+
   NodeMetrics(PrometheusRegistry registry) {
+    age =
+        Gauge.builder()
+            .name("ibishub_knowledge_age_seconds")
+            .help("Time since what is known of a topic of the store was last confirmed.")
+            .labelNames("topic")
+            .register(registry);
+    version =
+        Gauge.builder()
+            .name("ibishub_configuration_version")
+            .help("The version of the configuration in force.")
+            .register(registry);
+    entries =
+        Gauge.builder()
+            .name("ibishub_entries")
+            .help("Entries that are alive, this one included.")
+            .register(registry);
+    leading =
+        Gauge.builder()
+            .name("ibishub_leading")
+            .help("Whether this entry leads the groups.")
+            .register(registry);
     storeCalls =
         Counter.builder()
             .name("ibishub_store_calls_total")
@@ -19,4 +46,14 @@
   void onStoreCall(String call, int status) {
     storeCalls.labelValues(call, Integer.toString(status)).inc();
   }
+
+  void onAge(String topic, long millis) {
+    age.labelValues(topic).set(millis / 1_000.0);
+  }
+
+  void onState(long configurationVersion, int entriesAlive, boolean leads) {
+    version.set((double) configurationVersion);
+    entries.set(entriesAlive);
+    leading.set(leads ? 1 : 0);
+  }
 }
