Take what an entry is made of apart; hand over all that is known as one list

Two suppliers of the same length were read one after the other, between which a topic could become known.

--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -1,8 +1,6 @@
 package dev.ibishub.gateway.membership;
 
 import com.google.common.flogger.FluentLogger;
-import dev.ibishub.gateway.records.RecordBatch;
-import dev.ibishub.gateway.records.RecordMessages;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.Link;
@@ -52,8 +50,7 @@
 
   private final Self self;
   private final WireTransport transport;
-  private final Supplier<List<RecordBatch>> snapshots;
-  private final Supplier<List<String>> topics;
+  private final Supplier<List<Frame>> snapshots;
   private final Consumer<RecordProgress> onProgress;
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Known> hosts = new HashMap<>();
@@ -94,20 +91,17 @@
   /**
    * Creates a mesh without peers.
    *
-   * @param snapshots what to tell an entry that has just been linked, a batch for each topic
-   * @param topics the topics of the snapshots, in their order
+   * @param snapshots what to tell an entry that has just been linked: all that is known
    * @param onProgress told of what other entries read
    */
   public PeerMesh(
       Self self,
       WireTransport transport,
-      Supplier<List<RecordBatch>> snapshots,
-      Supplier<List<String>> topics,
+      Supplier<List<Frame>> snapshots,
       Consumer<RecordProgress> onProgress) {
     this.self = self;
     this.transport = transport;
     this.snapshots = snapshots;
-    this.topics = topics;
     this.onProgress = onProgress;
   }
 
@@ -188,11 +182,7 @@
     synchronized (this) {
       peers.computeIfAbsent(link.peer().processId(), any -> new Peer()).link = link;
     }
-    List<RecordBatch> known = snapshots.get();
-    List<String> names = topics.get();
-    for (int i = 0; i < known.size(); i++) {
-      link.offer(RecordMessages.frame(names.get(i), known.get(i)));
-    }
+    snapshots.get().forEach(link::offer);
   }
 
   @Override
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -32,6 +32,7 @@
 import dev.ibishub.settings.NodeSettings;
 import dev.ibishub.wire.Identity;
 import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.RecordProgress;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -50,7 +51,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /** An entry: takes callers' requests on one VM and finds everything else by itself. */
 final class EntryNode {
@@ -98,7 +98,7 @@
   private final RankPaths paths;
   private final GracefulStop stop;
   private volatile boolean isListening;
-  private boolean isAnnounced;
+  private volatile boolean isAnnounced;
 
   private EntryNode(NodeSettings settings) {
     this.settings = settings;
@@ -115,27 +115,8 @@
             follower(CONFIGURATION, this::onConfigurationRecord),
             follower(TARGETS, this::onTargetRecord),
             follower(ENTRIES, this::onEntryRecord));
-    transport =
-        WireTransport.sharing(
-            new Identity(
-                settings.processId(),
-                "entry",
-                settings.zone(),
-                ThreadLocalRandom.current().nextLong()),
-            group);
-    mesh =
-        new PeerMesh(
-            new PeerMesh.Self(
-                settings.processId(),
-                settings.host(),
-                settings.linkPort(),
-                settings.callerAddress().orElseThrow(),
-                this::isReady,
-                stop::isLeaving),
-            transport,
-            () -> known().map(RecordFollower::snapshot).flatMap(Optional::stream).toList(),
-            () -> known().map(RecordFollower::topic).toList(),
-            this::onProgress);
+    transport = WireTransport.sharing(identity(settings), group);
+    mesh = newMesh();
     experts =
         new ExpertController(
             targets,
@@ -149,19 +130,41 @@
             target -> new EngineClient(caller, target.host(), target.port()),
             targets,
             experts);
-    server =
-        new CallerServer(
-            new RequestContext(
-                new HeaderDialect(),
-                configuration::get,
-                targets,
-                new RetryBudgets(
-                    settings.retriesPerRequest(),
-                    settings.sharedRetryAllowance(),
-                    TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds())),
-                () -> mesh.entries(MonotonicClock.millis()),
-                stop,
-                new RequestMetrics(PrometheusRegistry.defaultRegistry)));
+    server = newServer();
+  }
+
+  private static Identity identity(NodeSettings settings) {
+    return new Identity(
+        settings.processId(), "entry", settings.zone(), ThreadLocalRandom.current().nextLong());
+  }
+
+  private PeerMesh newMesh() {
+    return new PeerMesh(
+        new PeerMesh.Self(
+            settings.processId(),
+            settings.host(),
+            settings.linkPort(),
+            settings.callerAddress().orElseThrow(),
+            this::isReady,
+            stop::isLeaving),
+        transport,
+        () -> followers.stream().map(EntryNode::snapshot).flatMap(Optional::stream).toList(),
+        this::onProgress);
+  }
+
+  private CallerServer newServer() {
+    return new CallerServer(
+        new RequestContext(
+            new HeaderDialect(),
+            configuration::get,
+            targets,
+            new RetryBudgets(
+                settings.retriesPerRequest(),
+                settings.sharedRetryAllowance(),
+                TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds())),
+            () -> mesh.entries(MonotonicClock.millis()),
+            stop,
+            new RequestMetrics(PrometheusRegistry.defaultRegistry)));
   }
 
   /**
@@ -216,8 +219,8 @@
     mesh.broadcast(RecordMessages.frame(topic, batch));
   }
 
-  private Stream<RecordFollower> known() {
-    return followers.stream().filter(RecordFollower::isKnown);
+  private static Optional<Frame> snapshot(RecordFollower follower) {
+    return follower.snapshot().map(batch -> RecordMessages.frame(follower.topic(), batch));
   }
 
   private boolean isReady() {
