Remove an urgency that nothing read, a twin record and what nobody calls

Cause: the edit that was to make agents read at 45 ms only during a switch never took hold: they do so whenever an entry watches them. The flag, its enum and its field in RankWatch did nothing.

Exchange uses AttemptRelay.Failure in place of its copy; MapSwitch asks mapVersion in place of writing the same stream twice; methods without a caller are gone. Behaviour stays as it is.

Left: RankPaths.onLook and RankLinks.onReport share two lines; Exchange (some 490 lines) and MapSwitch (some 500) hold two jobs each; MessageJson is a near twin of backends' Json.

--- a/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
@@ -139,7 +139,7 @@
         && now >= quietUntil
         && isComplete(now)
         && oddSince == NEVER
-        && views.values().stream().mapToLong(RankView::mapVersion).distinct().count() == 1;
+        && mapVersion().isPresent();
   }
 
   /** Returns the map in use, where all ranks agree. */
@@ -305,7 +305,7 @@
         isComplete(now)
             && views.values().stream()
                 .allMatch(view -> view.armedVersion() == 0 && view.at() > phaseSince)
-            && views.values().stream().mapToLong(RankView::mapVersion).distinct().count() == 1;
+            && mapVersion().isPresent();
     if (isOver) {
       enter(Phase.IDLE, now);
       return List.of();
--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -65,12 +65,6 @@
     return true;
   }
 
-  /** Returns how many retries are left in the current window. */
-  public synchronized int left(long now, int entries) {
-    forget(now);
-    return Math.max(0, (int) allowed(entries) - retries.size());
-  }
-
   private double allowed(int entries) {
     return retriesPerRequest * requests.size() + USED_PART * sharedAllowance / Math.max(1, entries);
   }
--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -123,11 +123,6 @@
     return handicap < NEGLIGIBLE_HANDICAP ? 0 : handicap;
   }
 
-  /** Returns the requests of this entry that are under way there. */
-  public synchronized int ownInFlight() {
-    return ownInFlight;
-  }
-
   private double failureShare(long now) {
     return failureShare * Math.pow(0.5, (now - answeredAt) / FORGIVING_HALF_LIFE_MILLIS);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -118,13 +118,4 @@
         .map(each -> each.services().get(target.service()))
         .flatMap(Service::engine);
   }
-
-  /** Returns what this entry wants to know of the ranks now. */
-  public synchronized RankLinks.Watch watch() {
-    if (!isLeading) {
-      return RankLinks.Watch.LOAD;
-    }
-    boolean isSwitching = groups.values().stream().anyMatch(GroupLead::isSwitching);
-    return isSwitching ? RankLinks.Watch.SWITCH : RankLinks.Watch.PICKS;
-  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -108,10 +108,6 @@
     return size;
   }
 
-  boolean isSwitching() {
-    return mapSwitch.phase() != MapSwitch.Phase.IDLE;
-  }
-
   void onPlace(Target target, double pace, RankState.Membership place, long now) {
     byRank.put(place.rank(), target);
     paces.put(place.rank(), pace);
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -45,7 +45,7 @@
   private volatile long reportedMapEpoch = -1;
   private volatile boolean isReachable = true;
 
-  private record Watcher(Link link, long until, boolean isUrgent) {}
+  private record Watcher(Link link, long until) {}
 
   public RankAgent(RankEngine engine) {
     this.engine = engine;
@@ -94,7 +94,7 @@
   @Override
   public void onFrame(Link link, Frame frame) {
     switch (frame.getBodyCase()) {
-      case RANK_WATCH -> onWatch(link, frame.getRankWatch().getUrgent());
+      case RANK_WATCH -> onWatch(link);
       case RANK_ORDER_CALL -> onOrder(link, frame.getRankOrderCall());
       default ->
           logger.atWarning().log(
@@ -107,10 +107,10 @@
     links.remove(link);
   }
 
-  private void onWatch(Link link, boolean isUrgent) {
+  private void onWatch(Link link) {
     boolean isNew = watchers.stream().noneMatch(watcher -> watcher.link().equals(link));
     watchers.removeIf(watcher -> watcher.link().equals(link));
-    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS, isUrgent));
+    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS));
     if (isNew) {
       reportedMapVersion = -1;
     }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -47,17 +47,7 @@
   private final Map<Long, CompletableFuture<RankOrder.Result>> waiting = new ConcurrentHashMap<>();
   private final AtomicLong lastCall = new AtomicLong();
   private long nextWatchAt;
-  private Watch lastWatch = Watch.LOAD;
-
-  /** What an entry wants to know of the ranks. */
-  public enum Watch {
-    /** How loaded they are. */
-    LOAD,
-    /** Besides what their requests choose, as this entry leads. */
-    PICKS,
-    /** Besides each step, as a map is being brought in. */
-    SWITCH
-  }
+  private boolean wasWatching;
 
   /** Told what agents say; {@code host} is the IP number that agent and target share. */
   public interface RankListener {
@@ -91,18 +81,17 @@
    * Opens missing links. To be called often.
    *
    * @param wanted IP numbers of targets beside which there may be an agent
-   * @param watch what this entry wants to know besides the load
+   * @param watches whether this entry wants picks and maps besides the load
    */
-  public synchronized void tick(Set<String> wanted, Watch watch, long now) {
+  public synchronized void tick(Set<String> wanted, boolean watches, long now) {
     agents.entrySet().removeIf(agent -> closeIfUnwanted(agent.getKey(), agent.getValue(), wanted));
     wanted.forEach(host -> dialIfMissing(host, now));
-    if (watch != Watch.LOAD && (now >= nextWatchAt || watch != lastWatch)) {
+    if (watches && (now >= nextWatchAt || !wasWatching)) {
       nextWatchAt = now + WATCH_MILLIS;
-      RankWatch wish = RankWatch.newBuilder().setUrgent(watch == Watch.SWITCH).build();
-      Frame frame = Frame.newBuilder().setRankWatch(wish).build();
+      Frame frame = Frame.newBuilder().setRankWatch(RankWatch.getDefaultInstance()).build();
       open().forEach(link -> link.offer(frame));
     }
-    lastWatch = watch;
+    wasWatching = watches;
   }
 
   /**
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
@@ -65,11 +65,6 @@
     return inFlight.get();
   }
 
-  /** Returns how many callers are connected. */
-  public int connections() {
-    return connections.size();
-  }
-
   /** Takes no new connections and closes those on which nothing is under way or left to write. */
   public void close() {
     listening.close().syncUninterruptibly();
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -97,14 +97,10 @@
   private TargetDirectory.Known target;
   private int runs;
   private int sends;
-  private Optional<FailedAnswer> lastFailure = Optional.empty();
+  private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
   private OptionalLong lastEventId = OptionalLong.empty();
   private boolean isOver;
 
-  /** A failure that a target answered with. */
-  @SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
-  private record FailedAnswer(int status, HttpHeaders headers, byte[] body) {}
-
   /**
    * Creates an exchange.
    *
@@ -365,7 +361,7 @@
       AttemptOutcome outcome, String cause, Optional<AttemptRelay.Failure> failure) {
     long now = MonotonicClock.millis();
     endAttempt(outcome.name().toLowerCase(Locale.ROOT));
-    lastFailure = failure.map(each -> new FailedAnswer(each.status(), each.headers(), each.body()));
+    lastFailure = failure;
     boolean isCallersFault =
         failure.map(each -> each.status() >= 400 && each.status() < 500).orElse(false);
     if (outcome == AttemptOutcome.UNREACHABLE) {
@@ -423,7 +419,7 @@
       return;
     }
     log("request.failed", ResultCode.ENGINE_FAILED, cause);
-    FailedAnswer failed = lastFailure.get();
+    AttemptRelay.Failure failed = lastFailure.get();
     answer.whole(failed.status(), failed.headers(), failed.body());
     done("target_failed");
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
@@ -134,11 +133,6 @@
     return byHost.getOrDefault(host, List.of());
   }
 
-  /** Finds a target by its id. */
-  public synchronized Optional<Known> find(String id) {
-    return Optional.ofNullable(known.get(id));
-  }
-
   private void publish() {
     Map<String, List<Known>> byService = new HashMap<>();
     known.values().stream()
--- a/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
@@ -42,9 +42,4 @@
         ? 0
         : expertMegabytes * BITS_PER_BYTE / linkMegabits * MILLIS_PER_SECOND;
   }
-
-  /** Returns how long an engine with all slots taken needs for a usual answer, milliseconds. */
-  public double usualAnswerMillis() {
-    return usualAnswerTokens * (stepMillis + slots * requestMillis);
-  }
 }
--- a/node/src/main/java/dev/ibishub/node/AgentNode.java
+++ b/node/src/main/java/dev/ibishub/node/AgentNode.java
@@ -22,8 +22,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Time between two looks at the engine's state while a map is brought in, milliseconds; passes
-   * take 45 and more, so hardly one is missed.
+   * Time between two looks at the engine's state while a leader watches, milliseconds; passes take
+   * 45 and more, so hardly one is missed.
    */
   private static final long STATE_MILLIS = 45;
 
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -238,7 +238,7 @@
       boolean leads = mesh.leads(now);
       Set<String> engineHosts = engineHosts();
       experts.tick(leads, now);
-      ranks.tick(engineHosts, experts.watch(), now);
+      ranks.tick(engineHosts, leads, now);
       if (leads) {
         paths.lookAround(engineHosts, now);
       }
