--- a/core/src/main/java/dev/ibishub/core/serving/AttemptOutcome.java
+++ b/core/src/main/java/dev/ibishub/core/serving/AttemptOutcome.java
@@ -4,6 +4,8 @@
 public enum AttemptOutcome {
   /** No connection came about, so nothing was sent. */
   UNREACHABLE(false),
+  /** Another target answered at the address; the one that was meant is gone. */
+  MISDIRECTED(false),
   /** The target itself said that it did not run the request. */
   REFUSED(false),
   /** The target answered with a failure of its own; it ran. */
--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -19,9 +19,9 @@
    */
   private static final double USED_PART = 0.75;
 
-  private final double retriesPerRequest;
-  private final double sharedAllowance;
-  private final long windowMillis;
+  private double retriesPerRequest;
+  private double sharedAllowance;
+  private long windowMillis;
   private final Deque<Long> requests = new ArrayDeque<>();
   private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -38,9 +38,19 @@
           "need retriesPerRequest >= 0, sharedAllowance >= 0 and windowMillis >= 1, was %s, %s, %d"
               .formatted(retriesPerRequest, sharedAllowance, windowMillis));
     }
-    this.retriesPerRequest = retriesPerRequest;
-    this.sharedAllowance = sharedAllowance;
-    this.windowMillis = windowMillis;
+    change(retriesPerRequest, sharedAllowance, windowMillis);
+  }
+
+  /**
+   * Changes the limits; what was counted stays counted.
+   *
+   * @see #SharedRetryBudget
+   */
+  public synchronized void change(
+      double newRetriesPerRequest, double newSharedAllowance, long newWindowMillis) {
+    retriesPerRequest = newRetriesPerRequest;
+    sharedAllowance = newSharedAllowance;
+    windowMillis = newWindowMillis;
   }
 
   /** Counts a request's first attempt. */
--- a/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -1,5 +1,6 @@
 package dev.ibishub.core.serving;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -33,6 +34,17 @@
    */
   public record Candidate(String id, boolean sameZone, TargetLoad load) {}
 
+  /**
+   * Whether none of a service's targets can run anything now. When one rank of a group ends, the
+   * others say that they are closed and the one that ended says nothing; asking it is in vain.
+   *
+   * @param loads what is believed of all targets of the service
+   */
+  public static boolean areClosed(Collection<TargetLoad> loads, long now) {
+    return loads.stream().anyMatch(load -> load.isClosed(now))
+        && loads.stream().noneMatch(load -> load.isOpen(now));
+  }
+
   /**
    * Chooses.
    *
@@ -40,11 +52,14 @@
    *     entries which see the same loads don't all choose the same one
    * @param tried ids of targets that this request was sent to before
    * @param now the current time
-   * @return the target, or empty when all that can be reached are full
+   * @return the target, or empty when all that can be reached are full or closed
    */
   public Optional<Candidate> choose(List<Candidate> candidates, Set<String> tried, long now) {
     List<Candidate> untried =
-        candidates.stream().filter(candidate -> !tried.contains(candidate.id())).toList();
+        candidates.stream()
+            .filter(candidate -> !tried.contains(candidate.id()))
+            .filter(candidate -> !candidate.load().isClosed(now))
+            .toList();
     List<Candidate> reachable =
         untried.stream().filter(candidate -> !candidate.load().isSuspended(now)).toList();
     // When all are suspended the cause is more likely this entry's own link; some target has to be
--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -29,6 +29,16 @@
   /** Requests that a target is taken to have on top while all its answers fail. */
   private static final double FAILING_COSTS = 8;
 
+  /** A pace up to this is no slowness. */
+  private static final double USUAL_PACE = 1.1;
+
+  /**
+   * Requests that a target is taken to have on top for each time that it is slower than usual.
+   * Ranks of a group step together, so the slow one's own part of a pass is what all wait for, and
+   * a request there lengthens every pause; on the others it lengthens none.
+   */
+  private static final double SLOWNESS_COSTS = 6;
+
   /**
    * A handicap below this is none. It only shrinks with time, so where all other targets are idle
    * one that has failed would never be tried again.
@@ -42,9 +52,7 @@
 
   private final Deque<Long> sentSinceReport = new ArrayDeque<>();
   private int ownInFlight;
-  private int reported;
-  private long measuredAt = Long.MIN_VALUE / 2;
-  private double pace = 1;
+  private TargetReport report = TargetReport.ofRequests(0, Long.MIN_VALUE / 2);
   private double failureShare;
   private long answeredAt;
   private long suspendedUntil = Long.MIN_VALUE;
@@ -64,15 +72,12 @@
   /**
    * Takes a report of the target in.
    *
-   * @param requests requests waiting and running there
-   * @param newPace how many times slower than usual the target works, 1 for as usual
-   * @param measured when the report was made, on this process's clock
+   * @param newest what it said last
    */
-  public synchronized void onReport(int requests, double newPace, long measured) {
-    reported = requests;
-    pace = newPace;
-    measuredAt = measured;
-    while (!sentSinceReport.isEmpty() && sentSinceReport.peekFirst() + ARRIVAL_MILLIS < measured) {
+  public synchronized void onReport(TargetReport newest) {
+    report = newest;
+    while (!sentSinceReport.isEmpty()
+        && sentSinceReport.peekFirst() + ARRIVAL_MILLIS < newest.measuredAt()) {
       sentSinceReport.removeFirst();
     }
   }
@@ -101,7 +106,22 @@
 
   /** Whether the target's own report is recent enough to count. */
   public synchronized boolean hasReport(long now) {
-    return now - measuredAt <= REPORT_MILLIS;
+    return now - report.measuredAt() <= REPORT_MILLIS;
+  }
+
+  /** Whether the target said lately that it takes no requests at present. */
+  public synchronized boolean isClosed(long now) {
+    return hasReport(now) && !report.isOpen();
+  }
+
+  /** Whether the target said lately that it does take requests. */
+  public synchronized boolean isOpen(long now) {
+    return hasReport(now) && report.isOpen();
+  }
+
+  /** Whether it has, by its own recent word, more requests than it runs at once. */
+  public synchronized boolean isQueueing(long now, int slots) {
+    return hasReport(now) && report.requests() > slots;
   }
 
   /**
@@ -114,12 +134,13 @@
     if (!hasReport(now)) {
       return (double) ownInFlight * Math.max(1, entries);
     }
-    return reported + sentSinceReport.size();
+    return report.requests() + sentSinceReport.size();
   }
 
   /** Returns what its failures and its pace add to the requests when targets are compared. */
   public synchronized double handicap(long now) {
-    double handicap = failureShare(now) * FAILING_COSTS + Math.max(0, pace - 1);
+    double slowness = Math.max(0, report.pace() - USUAL_PACE) * SLOWNESS_COSTS;
+    double handicap = failureShare(now) * FAILING_COSTS + slowness;
     return handicap < NEGLIGIBLE_HANDICAP ? 0 : handicap;
   }
 
--- a/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
@@ -53,13 +53,14 @@
     views.forEach(
         view ->
             IntStream.range(0, running.length)
-                .forEach(i -> view.get(i).load().onReport(running[i], 1, now)));
+                .forEach(
+                    i -> view.get(i).load().onReport(TargetReport.ofRequests(running[i], now))));
   }
 
   @Test
   void fullTargetsAreNotChosen() {
     List<Candidate> all = candidates(2);
-    all.forEach(candidate -> candidate.load().onReport(9, 1, 100));
+    all.forEach(candidate -> candidate.load().onReport(TargetReport.ofRequests(9, 100)));
 
     assertThat(new TargetChoice(1, 9).choose(all, Set.of(), 100)).isEmpty();
   }
@@ -104,6 +105,45 @@
     assertThat(all.get(0).load().isSuspended(400)).isFalse();
   }
 
+  // Each request is sent to three ranks in turn and refused by each, at the cost of the budget for
+  // retries. One rank had ended; the others said so, and the only one that did not say so was the
+  // one that had ended.
+  @Test
+  void groupOfWhichOneRankEndedIsClosed() {
+    List<Candidate> all = candidates(3);
+    List<TargetLoad> loads = all.stream().map(Candidate::load).toList();
+    all.stream()
+        .skip(1)
+        .forEach(candidate -> candidate.load().onReport(new TargetReport(2, 1, false, 100)));
+
+    assertThat(TargetChoice.areClosed(loads, 150)).isTrue();
+    assertThat(TargetChoice.areClosed(loads, 100 + TargetLoad.REPORT_MILLIS + 1)).isFalse();
+  }
+
+  @Test
+  void closedTargetIsNotChosenWhereAnotherGroupIsOpen() {
+    List<Candidate> all = candidates(2);
+    all.get(0).load().onReport(new TargetReport(0, 1, false, 100));
+    all.get(1).load().onReport(new TargetReport(5, 1, true, 100));
+
+    assertThat(TargetChoice.areClosed(all.stream().map(Candidate::load).toList(), 150)).isFalse();
+    assertThat(new TargetChoice(1, 9).choose(all, Set.of(), 150)).map(Candidate::id).contains("t1");
+  }
+
+  // All streams pause for longer since one rank is slow, and it gets as many requests as the
+  // others.
+  // Its own part of each pass is what all wait for, and each request there makes it longer.
+  @Test
+  void slowRankGetsRequestsOnlyWhenTheOthersAreNearlyFull() {
+    List<Candidate> all = candidates(2);
+    all.get(0).load().onReport(new TargetReport(0, 2.2, true, 100));
+    all.get(1).load().onReport(new TargetReport(5, 1, true, 100));
+    assertThat(new TargetChoice(1, 9).choose(all, Set.of(), 100)).map(Candidate::id).contains("t1");
+
+    all.get(1).load().onReport(new TargetReport(9, 1, true, 100));
+    assertThat(new TargetChoice(1, 9).choose(all, Set.of(), 100)).map(Candidate::id).contains("t0");
+  }
+
   @Test
   void someTargetIsTriedWhenNoneCouldBeReached() {
     List<Candidate> all = candidates(2);
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -55,7 +55,7 @@
    * differs by 1.25 from the next by chance; a map for that is in vain, and delays the next one
    * that matters.
    */
-  static final double START_SKEW = 1.4;
+  static final double START_SKEW = 1.6;
 
   /**
    * Part of the ranks whose counts have to be known. The demand is the same at all of them, so a
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -31,6 +31,16 @@
    */
   private static final long PLAIN_REPORT_MILLIS = 100;
 
+  /**
+   * How long after an order the engine's state is read each time that {@link #readState} is called,
+   * milliseconds. Copying for a map and switching to it take some 300; a leader waits for each word
+   * then. At other times a reading for each plain report does.
+   */
+  private static final long ORDERED_MILLIS = 500;
+
+  /** A reading that falls due within this is done now: the timer comes each 45 ms only. */
+  private static final long EARLY_MILLIS = 15;
+
   private final RankEngine engine;
   private final Set<Link> links = ConcurrentHashMap.newKeySet();
   private final Set<Watcher> watchers = ConcurrentHashMap.newKeySet();
@@ -38,9 +48,11 @@
   private final AtomicBoolean isReadingPicks = new AtomicBoolean();
   private volatile RankState lastState;
   private volatile long lastReadAt;
+  private volatile long orderedAt = Long.MIN_VALUE / 2;
   private volatile long lastReportAt;
   private volatile long lastPlainReportAt;
   private volatile int lastPlainRequests = -1;
+  private volatile boolean lastPlainOpen = true;
   private volatile long reportedMapVersion = -1;
   private volatile long reportedMapEpoch = -1;
   private volatile boolean isReachable = true;
@@ -53,12 +65,13 @@
 
   /** Reads the engine's state and tells it to the entries. To be called often. */
   public void readState() {
+    long now = MonotonicClock.millis();
     boolean isDue =
-        !watchers.isEmpty() || MonotonicClock.millis() - lastReadAt >= PLAIN_REPORT_MILLIS;
+        now - orderedAt <= ORDERED_MILLIS || now - lastReadAt >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
     if (!isDue || links.isEmpty() || !isReadingState.compareAndSet(false, true)) {
       return;
     }
-    lastReadAt = MonotonicClock.millis();
+    lastReadAt = now;
     engine.state().whenComplete(this::onState);
   }
 
@@ -117,6 +130,7 @@
   }
 
   private void onOrder(Link link, RankOrderCall call) {
+    orderedAt = MonotonicClock.millis();
     RankOrder order = RankMessages.order(call);
     engine
         .order(order)
@@ -151,10 +165,12 @@
     }
     lastState = state;
     long sincePlain = now - lastPlainReportAt;
-    boolean hasNewLoad = state.requests() != lastPlainRequests;
-    if (sincePlain >= REPEAT_MILLIS || (hasNewLoad && sincePlain >= PLAIN_REPORT_MILLIS)) {
+    boolean hasNewLoad = state.requests() != lastPlainRequests || state.isOpen() != lastPlainOpen;
+    boolean isPlainDue = sincePlain >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
+    if (sincePlain >= REPEAT_MILLIS || (hasNewLoad && isPlainDue)) {
       lastPlainReportAt = now;
       lastPlainRequests = state.requests();
+      lastPlainOpen = state.isOpen();
       links.stream().filter(link -> !isWatching(link)).forEach(link -> link.offer(frame));
     }
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -38,6 +38,9 @@
   /** How long an agent's answer to an order is waited for, milliseconds. */
   private static final long REPLY_MILLIS = 160;
 
+  private static final Frame WATCH =
+      Frame.newBuilder().setRankWatch(RankWatch.getDefaultInstance()).build();
+
   private final WireTransport transport;
   private final int linkPort;
   private final TargetDirectory targets;
@@ -88,8 +91,7 @@
     wanted.forEach(host -> dialIfMissing(host, now));
     if (watches && (now >= nextWatchAt || !wasWatching)) {
       nextWatchAt = now + WATCH_MILLIS;
-      Frame frame = Frame.newBuilder().setRankWatch(RankWatch.getDefaultInstance()).build();
-      open().forEach(link -> link.offer(frame));
+      open().forEach(link -> link.offer(WATCH));
     }
     wasWatching = watches;
   }
@@ -156,9 +158,7 @@
   }
 
   private void onReport(String host, RankState state, long now) {
-    targets
-        .atHost(host)
-        .forEach(known -> known.load().onReport(state.requests(), state.pace(), now));
+    targets.onReport(host, state.load(now));
     listener.onState(host, state, now);
   }
 
@@ -208,6 +208,10 @@
     agent.link = link;
     if (link != null) {
       hosts.put(link, host);
+      if (wasWatching) {
+        // Waiting for the next word to all cost the first map after a loss of power 0.4 s.
+        link.offer(WATCH);
+      }
     }
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
@@ -92,9 +92,7 @@
       return;
     }
     long now = MonotonicClock.millis();
-    targets
-        .atHost(host)
-        .forEach(known -> known.load().onReport(state.requests(), state.pace(), now));
+    targets.onReport(host, state.load(now));
     listener.onState(host, state, now);
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankState.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankState.java
@@ -1,5 +1,6 @@
 package dev.ibishub.gateway.experts;
 
+import dev.ibishub.core.serving.TargetReport;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -12,6 +13,20 @@
  * @param membership its place in a group, where it belongs to one
  */
 public record RankState(int requests, int waiting, double pace, Optional<Membership> membership) {
+  /**
+   * Returns the part of it that placing requests needs.
+   *
+   * @param now when it was heard, on this process's monotonic clock
+   */
+  public TargetReport load(long now) {
+    return new TargetReport(requests, pace, isOpen(), now);
+  }
+
+  /** Whether it takes requests: one that belongs to a group only does while the group works. */
+  public boolean isOpen() {
+    return membership.map(Membership::isOpen).orElse(true);
+  }
+
   /**
    * A rank's place in its group and what it has been ordered to do.
    *
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -99,7 +99,9 @@
     boolean isOthers = answer.attemptId().map(id -> !id.equals(attemptId)).orElse(false);
     if (isOthers) {
       fail(AttemptOutcome.BROKEN, "answer to another attempt " + answer.attemptId().orElse(""));
-    } else if (answer.notRun() || answer.status() == MISDIRECTED) {
+    } else if (answer.status() == MISDIRECTED) {
+      fail(AttemptOutcome.MISDIRECTED, "another target answered");
+    } else if (answer.notRun()) {
       fail(AttemptOutcome.REFUSED, "target refused with " + answer.status());
     } else if (answer.isSuccess() && (!answer.isSigned() || answer.isEncoded())) {
       fail(AttemptOutcome.BROKEN, "success that the target does not vouch for");
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerAnswer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerAnswer.java
@@ -1,11 +1,13 @@
 package dev.ibishub.gateway.front;
 
+import dev.ibishub.core.ResultCode;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -16,6 +18,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -68,6 +72,22 @@
     return endWith(channel.writeAndFlush(response), keep);
   }
 
+  /**
+   * Writes that there is no answer, and why.
+   *
+   * @param retryMillis when to come back, milliseconds; 0 where there is nothing to say
+   */
+  void refusal(ResultCode code, long retryMillis) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    if (retryMillis > 0) {
+      headers.set(
+          HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryMillis / 1_000.0));
+    }
+    String body = "{\"code\":" + code.number() + ",\"result\":\"" + code.name() + "\"}\n";
+    whole(code.httpStatus(), headers, body.getBytes(StandardCharsets.UTF_8));
+  }
+
   /** Writes the head of an answer whose length is not known. */
   void begin(int status, HttpHeaders headers) {
     isBegun = true;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -1,35 +1,28 @@
 package dev.ibishub.gateway.front;
 
-import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.serving.AttemptOutcome;
 import dev.ibishub.core.serving.RequestKind;
-import dev.ibishub.core.serving.RetryRule;
+import dev.ibishub.core.serving.ReturnAdvice;
+import dev.ibishub.core.serving.SilenceRule;
 import dev.ibishub.core.serving.TargetChoice;
-import dev.ibishub.gateway.model.EngineProfile;
-import dev.ibishub.gateway.model.Route;
-import dev.ibishub.gateway.model.Service;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
-import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -45,8 +38,6 @@
  * first.
  */
 final class Exchange {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   /** With less time than this left no target could answer; the request ends. Milliseconds. */
   private static final long LEAST_USEFUL_MILLIS = 15;
 
@@ -57,8 +48,8 @@
    */
   static final double WAITING_PER_TARGET = 1;
 
-  /** Until a retry may help when there is no target at all, milliseconds. */
-  private static final long NO_TARGET_RETRY_MILLIS = 500;
+  /** Until a retry may help when nothing is known of targets, milliseconds. */
+  private static final long UNKNOWN_RETRY_MILLIS = 500;
 
   /** Until a caller should go to another entry, milliseconds; there it is served at once. */
   private static final long LEAVING_RETRY_MILLIS = 10;
@@ -70,10 +61,8 @@
    */
   private static final long PAGE_SILENCE_MILLIS = 260;
 
-  /** Least and most time until a refused caller comes back; spreads their return. Milliseconds. */
-  private static final long FULL_RETRY_MILLIS = 250;
-
-  private static final long FULL_RETRY_SPREAD_MILLIS = 500;
+  /** Time between two looks at whether a stream has gone silent, milliseconds. */
+  private static final long STREAM_LOOK_MILLIS = 150;
 
   private final RequestContext context;
   private final EventLoop loop;
@@ -81,20 +70,18 @@
   private final CallerAnswer answer;
   private final Runnable onDone;
   private final CallerRequest caller;
+  private final ExchangeLog log;
   private final long arrivedAt = MonotonicClock.millis();
   private final PauseWatch pauses = new PauseWatch(arrivedAt);
   private final Set<String> tried = new HashSet<>();
 
-  private Route route;
-  private String service = "";
-  private Optional<Workspace> workspace = Optional.empty();
-  private Optional<EngineProfile> engine = Optional.empty();
-  private long configurationVersion;
-  private long deadline;
-  private RetryRule rule;
+  private Routing.Routed routed;
   private ScheduledFuture<?> timer;
+  private ScheduledFuture<?> silence;
   private AttemptRelay attempt;
   private TargetDirectory.Known target;
+  private long heardAt;
+  private boolean hasPiece;
   private int runs;
   private int sends;
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
@@ -119,50 +106,41 @@
     this.answer = answer;
     this.onDone = onDone;
     this.caller = context.dialect().read(request);
+    this.log = new ExchangeLog(caller.attemptId(), arrivedAt, context.entries());
   }
 
   void start() {
     Optional<ServingConfiguration> configuration = context.configuration().get();
     if (configuration.isEmpty()) {
-      refuse(ResultCode.NOT_READY, NO_TARGET_RETRY_MILLIS);
-      return;
-    }
-    configurationVersion = configuration.get().version();
-    Optional<Route> found = route(configuration.get());
-    if (found.isEmpty()) {
-      refuse(ResultCode.NOT_FOUND, 0);
+      refuse(ResultCode.NOT_READY, UNKNOWN_RETRY_MILLIS);
       return;
     }
-    route = found.get();
-    workspace = caller.key().flatMap(configuration.get()::workspace);
-    if (route.needsKey() && configuration.get().usesKeys() && workspace.isEmpty()) {
-      refuse(ResultCode.UNAUTHENTICATED, 0);
+    double point = ThreadLocalRandom.current().nextDouble();
+    Routing found = Routing.of(configuration.get(), request, caller, arrivedAt, point);
+    log.onRouting(found);
+    if (found instanceof Routing.Refused refused) {
+      refuse(refused.code(), 0);
       return;
     }
-    service = route.destination(ThreadLocalRandom.current().nextDouble());
-    engine =
-        Optional.ofNullable(configuration.get().services().get(service)).flatMap(Service::engine);
-    deadline =
-        arrivedAt + Math.min(route.timeoutMillis(), caller.waitMillis().orElse(Long.MAX_VALUE));
-    if (context.stop().mayCut(deadline)) {
+    routed = (Routing.Routed) found;
+    if (context.stop().mayCut(routed.deadline())) {
       refuse(ResultCode.ENTRY_LEAVING, LEAVING_RETRY_MILLIS);
       return;
     }
-    rule = new RetryRule(route.kind(), route.maximumRuns());
     lastEventId = caller.lastEventId();
     timer =
         loop.schedule(
             this::onDeadline,
-            Math.max(0, deadline - MonotonicClock.millis()),
+            Math.max(0, routed.deadline() - MonotonicClock.millis()),
             TimeUnit.MILLISECONDS);
-    context.budgets().of(service).onRequest(arrivedAt);
+    context.budgets().of(routed.service()).onRequest(arrivedAt);
     send();
   }
 
   /** The caller's connection is gone: the work for it stops. */
   void onCallerGone() {
     if (!isOver) {
-      log("request.left", ResultCode.CANCELLED, "caller closed its connection");
+      log.ended("request.left", ResultCode.CANCELLED, "caller closed its connection", sends);
       done("left");
     }
   }
@@ -174,48 +152,75 @@
     }
   }
 
-  private Optional<Route> route(ServingConfiguration configuration) {
-    String host = request.headers().get(HttpHeaderNames.HOST, "");
-    int query = request.uri().indexOf('?');
-    String path = query < 0 ? request.uri() : request.uri().substring(0, query);
-    int port = host.lastIndexOf(':');
-    return configuration
-        .route(host, path)
-        .or(() -> port < 0 ? Optional.empty() : configuration.route(host.substring(0, port), path));
-  }
-
   private void send() {
     long now = MonotonicClock.millis();
-    if (deadline - now < LEAST_USEFUL_MILLIS) {
+    if (routed.deadline() - now < LEAST_USEFUL_MILLIS) {
       onDeadline();
       return;
     }
-    List<TargetDirectory.Known> usable = context.targets().usable(service);
-    Optional<TargetDirectory.Known> chosen = choose(usable, now);
+    List<TargetDirectory.Known> usable = context.targets().usable(routed.service());
+    boolean isClosed =
+        TargetChoice.areClosed(usable.stream().map(TargetDirectory.Known::load).toList(), now);
+    Optional<TargetDirectory.Known> chosen = isClosed ? Optional.empty() : choose(usable, now);
     if (chosen.isEmpty()) {
-      onNoTarget(usable.isEmpty());
+      onNoTarget(usable.isEmpty(), isClosed, now);
       return;
     }
     target = chosen.get();
+    log.onTarget(target);
     tried.add(target.target().id());
     sends++;
+    heardAt = now;
+    hasPiece = false;
     target.load().onSent(now);
     InetSocketAddress address =
         new InetSocketAddress(target.target().host(), target.target().port());
     attempt =
         AttemptRelay.start(
             loop, context.dialect(), address, targetRequest(now), new RelayListener());
-    if (route.kind() == RequestKind.IDEMPOTENT && engine.isEmpty()) {
-      AttemptRelay watched = attempt;
-      loop.schedule(() -> onSilence(watched), PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+    watchSilence();
+  }
+
+  /** Has an attempt looked after that another target may take over when this one is silent. */
+  private void watchSilence() {
+    AttemptRelay watched = attempt;
+    if (routed.route().kind() == RequestKind.IDEMPOTENT && routed.engine().isEmpty()) {
+      silence =
+          loop.schedule(() -> onPageSilence(watched), PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+    } else if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
+      silence =
+          loop.scheduleWithFixedDelay(
+              () -> onStreamLook(watched),
+              STREAM_LOOK_MILLIS,
+              STREAM_LOOK_MILLIS,
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void onPageSilence(AttemptRelay watched) {
+    if (!watched.isAnswering()) {
+      giveUpSilent(watched, "no answer in time");
+    }
+  }
+
+  private void onStreamLook(AttemptRelay watched) {
+    long now = MonotonicClock.millis();
+    boolean mayWait =
+        routed
+            .engine()
+            .map(profile -> target.load().isQueueing(now, profile.slots()))
+            .orElse(false);
+    OptionalLong movingSince = context.streams().of(routed.service()).movingSince(now);
+    if (SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince)) {
+      giveUpSilent(watched, "silent while the service's other streams move");
     }
   }
 
   /** Gives a silent target up for another one, where the request may run at one more. */
-  private void onSilence(AttemptRelay watched) {
-    boolean isStillSilent = !isOver && watched.equals(attempt) && !watched.isAnswering();
-    if (isStillSilent && rule.allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends)) {
-      onAttemptFailed(AttemptOutcome.BROKEN, "no answer in time", Optional.empty());
+  private void giveUpSilent(AttemptRelay watched, String cause) {
+    boolean isCurrent = !isOver && watched.equals(attempt);
+    if (isCurrent && routed.retryRule().allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends)) {
+      onAttemptFailed(AttemptOutcome.BROKEN, cause, Optional.empty());
     }
   }
 
@@ -232,7 +237,10 @@
                         each.load()))
             .toList();
     double full =
-        engine.map(profile -> profile.slots() + WAITING_PER_TARGET).orElse(Double.MAX_VALUE);
+        routed
+            .engine()
+            .map(profile -> profile.slots() + WAITING_PER_TARGET)
+            .orElse(Double.MAX_VALUE);
     return new TargetChoice(context.entries().getAsInt(), full)
         .choose(candidates, tried, now)
         .flatMap(
@@ -264,19 +272,14 @@
             copy.headers(),
             new TargetRequest(
                 target.target().id(),
-                deadline - now,
-                workspace.map(Workspace::name),
+                routed.deadline() - now,
+                routed.workspace().map(Workspace::name),
                 lastEventId,
-                engine.isPresent() ? priority() : OptionalInt.empty()));
+                routed.priority()));
     return copy;
   }
 
-  private OptionalInt priority() {
-    OptionalInt own = workspace.map(Workspace::priority).orElse(OptionalInt.empty());
-    return OptionalInt.of(own.orElse(route.priority()));
-  }
-
-  private void onNoTarget(boolean noneKnown) {
+  private void onNoTarget(boolean noneKnown, boolean isClosed, long now) {
     if (answer.isBegun()) {
       endBroken("no other target to go on at");
       return;
@@ -285,11 +288,14 @@
       endFailed("no other target to try");
       return;
     }
-    refuse(
-        noneKnown ? ResultCode.NO_TARGET : ResultCode.OVERLOADED,
-        noneKnown
-            ? NO_TARGET_RETRY_MILLIS
-            : FULL_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MILLIS));
+    double point = ThreadLocalRandom.current().nextDouble();
+    if (noneKnown) {
+      refuse(ResultCode.NO_TARGET, UNKNOWN_RETRY_MILLIS);
+    } else if (isClosed) {
+      refuse(ResultCode.NO_TARGET, ReturnAdvice.whileClosed(routed.deadline() - now, point));
+    } else {
+      refuse(ResultCode.OVERLOADED, ReturnAdvice.whenFull(point));
+    }
   }
 
   /** Takes what one attempt brings. */
@@ -319,7 +325,10 @@
       if (eventId.isPresent()) {
         lastEventId = eventId;
       }
-      pauses.onPiece(MonotonicClock.millis());
+      heardAt = MonotonicClock.millis();
+      hasPiece = true;
+      pauses.onPiece(heardAt);
+      context.streams().of(routed.service()).onPiece(heardAt);
       answer.part(bytes);
       if (!answer.isWritable()) {
         attempt.setReading(false);
@@ -342,18 +351,10 @@
 
   private void onGoodAnswer() {
     target.load().onAnswer(true, MonotonicClock.millis());
-    context.metrics().onAnswered(service, pauses.firstPieceMillis(), pauses.longestPauseMillis());
-    if (pauses.isLate(route.aimMillis(), route.longestPauseMillis())) {
-      log(
-          "request.late",
-          ResultCode.OK,
-          "first piece after %d ms of %d, longest pause %d ms of %d"
-              .formatted(
-                  pauses.firstPieceMillis(),
-                  route.aimMillis(),
-                  pauses.longestPauseMillis(),
-                  route.longestPauseMillis()));
-    }
+    context
+        .metrics()
+        .onAnswered(routed.service(), pauses.firstPieceMillis(), pauses.longestPauseMillis());
+    log.answered(routed.route(), pauses, sends);
     endAttempt("ok");
   }
 
@@ -364,7 +365,7 @@
     lastFailure = failure;
     boolean isCallersFault =
         failure.map(each -> each.status() >= 400 && each.status() < 500).orElse(false);
-    if (outcome == AttemptOutcome.UNREACHABLE) {
+    if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.MISDIRECTED) {
       target.load().onUnreachable(now);
     } else {
       target.load().onAnswer(isCallersFault, now);
@@ -372,18 +373,9 @@
     runs += outcome.mayHaveRun() ? 1 : 0;
     boolean another =
         !isCallersFault
-            && rule.allowsAnother(outcome, runs, sends)
-            && context.budgets().of(service).tryRetry(now, context.entries().getAsInt());
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of("attempt.failed")
-            .request(caller.attemptId())
-            .with("target", target.target().id())
-            .with("outcome", outcome)
-            .with("cause", cause)
-            .with("again", another)
-            .with("sends", sends)
-            .with("after_ms", now - arrivedAt));
+            && routed.retryRule().allowsAnother(outcome, runs, sends)
+            && context.budgets().of(routed.service()).tryRetry(now, context.entries().getAsInt());
+    log.attemptFailed(outcome, cause, another, sends);
     if (another) {
       send();
     } else if (answer.isBegun()) {
@@ -391,7 +383,9 @@
     } else if (runs > 0) {
       endFailed(cause);
     } else {
-      refuse(ResultCode.TARGET_UNREACHABLE, FULL_RETRY_MILLIS);
+      refuse(
+          ResultCode.TARGET_UNREACHABLE,
+          ReturnAdvice.whenFull(ThreadLocalRandom.current().nextDouble()));
     }
   }
 
@@ -399,18 +393,21 @@
     if (isOver) {
       return;
     }
+    String cause = "the time of the request is over";
     if (answer.isBegun()) {
-      endBroken("the time of the request is over");
+      endBroken(cause);
       return;
     }
     boolean mayHaveRun = runs > 0 || attempt != null;
     if (attempt != null && !attempt.isAnswering()) {
       target.load().onAnswer(false, MonotonicClock.millis());
     }
-    end(
-        mayHaveRun ? ResultCode.DEADLINE_PASSED_RUNNING : ResultCode.DEADLINE_UNREACHABLE,
-        mayHaveRun ? 0 : FULL_RETRY_MILLIS,
-        "the time of the request is over");
+    if (mayHaveRun) {
+      end(ResultCode.DEADLINE_PASSED_RUNNING, 0, cause);
+    } else {
+      double point = ThreadLocalRandom.current().nextDouble();
+      end(ResultCode.DEADLINE_UNREACHABLE, ReturnAdvice.whenFull(point), cause);
+    }
   }
 
   private void endFailed(String cause) {
@@ -418,14 +415,14 @@
       end(ResultCode.TARGET_LOST, 0, cause);
       return;
     }
-    log("request.failed", ResultCode.ENGINE_FAILED, cause);
+    log.ended("request.failed", ResultCode.ENGINE_FAILED, cause, sends);
     AttemptRelay.Failure failed = lastFailure.get();
     answer.whole(failed.status(), failed.headers(), failed.body());
     done("target_failed");
   }
 
   private void endBroken(String cause) {
-    log("request.broken", ResultCode.TARGET_LOST, cause);
+    log.ended("request.broken", ResultCode.TARGET_LOST, cause, sends);
     answer.breakOff();
     done("broken");
   }
@@ -435,24 +432,21 @@
   }
 
   private void end(ResultCode code, long retryMillis, String cause) {
-    log("request.refused", code, cause);
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    if (retryMillis > 0) {
-      headers.set(
-          HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryMillis / 1_000.0));
-    }
-    String body = "{\"code\":" + code.number() + ",\"result\":\"" + code.name() + "\"}\n";
-    answer.whole(code.httpStatus(), headers, body.getBytes(StandardCharsets.UTF_8));
+    log.ended("request.refused", code, cause, sends);
+    answer.refusal(code, retryMillis);
     done(code.name().toLowerCase(Locale.ROOT));
   }
 
   private void endAttempt(String outcome) {
+    if (silence != null) {
+      silence.cancel(false);
+      silence = null;
+    }
     if (attempt != null) {
       attempt.cancel();
       attempt = null;
       target.load().onEnded();
-      context.metrics().onAttemptEnded(service, outcome);
+      context.metrics().onAttemptEnded(routed.service(), outcome);
     }
   }
 
@@ -463,33 +457,7 @@
       timer.cancel(false);
     }
     request.release();
-    context.metrics().onRequestEnded(service, result);
+    context.metrics().onRequestEnded(routed == null ? "" : routed.service(), result);
     onDone.run();
   }
-
-  private void log(String event, ResultCode code, String cause) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of(event)
-            .request(caller.attemptId())
-            .code(code)
-            .with("route", route == null ? "" : route.name())
-            .with("service", service)
-            .with("configuration", configurationVersion)
-            .with("target", target == null ? "" : target.target().id())
-            .with("load", target == null ? "" : loadOfTarget())
-            .with("sends", sends)
-            .with("after_ms", MonotonicClock.millis() - arrivedAt)
-            .with("cause", cause));
-  }
-
-  /** What is believed of the target's load, and whether by its own word. */
-  private String loadOfTarget() {
-    long now = MonotonicClock.millis();
-    int entries = context.entries().getAsInt();
-    return "%.0f %s"
-        .formatted(
-            target.load().requests(now, entries),
-            target.load().hasReport(now) ? "reported" : "estimated");
-  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -13,6 +13,7 @@
  * @param configuration the configuration in force, empty while none is known
  * @param targets the targets
  * @param budgets the retry budgets
+ * @param streams whether the streams of each service move
  * @param entries how many entries share the targets, 1 or more
  * @param stop whether and when this process stops
  * @param metrics what is counted
@@ -22,6 +23,7 @@
     Supplier<Optional<ServingConfiguration>> configuration,
     TargetDirectory targets,
     RetryBudgets budgets,
+    StreamWatch streams,
     IntSupplier entries,
     StopPlan stop,
     RequestMetrics metrics) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -2,9 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +16,11 @@
 /**
  * The targets that may get requests, with what is believed of each. Thread-safe by one lock; the
  * lists that it hands out don't change.
+ *
+ * <p>Of several entries with one address only the newest names a target that lives. A target that
+ * ended without a word stays listed for some seconds while its successor is already there; an entry
+ * process that starts then sees both, and requests and orders to the first would all be refused
+ * (half of the first second's requests after a loss of power).
  */
 public final class TargetDirectory {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -42,8 +49,22 @@
    * @param load its load; new with each of its lives
    * @param usedUntil when it is taken as gone, on the monotonic clock; a very late time for a
    *     target that is announced
+   * @param offset where its newest entry stands among all entries
    */
-  public record Known(Target target, TargetLoad load, long usedUntil) {}
+  public record Known(Target target, TargetLoad load, long usedUntil, long offset) {
+    private boolean sharesAddressWith(Known other) {
+      return target.host().equals(other.target.host()) && target.port() == other.target.port();
+    }
+
+    /** Returns the later of two lives at one address. */
+    private static Known later(Known one, Known other) {
+      long started = one.target.startedAtMillis();
+      long otherStarted = other.target.startedAtMillis();
+      boolean saysStart = started > 0 && otherStarted > 0 && started != otherStarted;
+      boolean isLater = saysStart ? started > otherStarted : one.offset > other.offset;
+      return isLater ? one : other;
+    }
+  }
 
   /**
    * Creates an empty directory.
@@ -58,8 +79,12 @@
     return ownZone;
   }
 
-  /** Takes in what a target announces. */
-  public synchronized void onAnnounced(Target target) {
+  /**
+   * Takes in what a target announces.
+   *
+   * @param offset where the entry stands among all entries; later ones are higher
+   */
+  public synchronized void onAnnounced(Target target, long offset) {
     Known before = known.get(target.id());
     boolean isNewLife =
         before == null || target.startedAtMillis() > before.target().startedAtMillis();
@@ -67,7 +92,8 @@
       return;
     }
     TargetLoad load = isNewLife ? new TargetLoad() : before.load();
-    known.put(target.id(), new Known(target, load, Long.MAX_VALUE));
+    Known announced = new Known(target, load, Long.MAX_VALUE, offset);
+    known.put(target.id(), announced);
     if (isNewLife || before.target().leaving() != target.leaving()) {
       logger.atInfo().log(
           "%s",
@@ -78,7 +104,9 @@
               .with("leaving", target.leaving())
               .with("started_ms", target.startedAtMillis()));
     }
-    if (before == null || !before.target().equals(target)) {
+    boolean isShared =
+        known.values().stream().filter(each -> each.sharesAddressWith(announced)).count() > 1;
+    if (before == null || !before.target().equals(target) || isShared) {
       publish();
     }
   }
@@ -102,7 +130,9 @@
             .with("target", id)
             .with("outage_ms", outageMillis));
     if (lapsed) {
-      known.put(id, new Known(before.target(), before.load(), now + LAPSED_GRACE_MILLIS));
+      known.put(
+          id,
+          new Known(before.target(), before.load(), now + LAPSED_GRACE_MILLIS, before.offset()));
       return;
     }
     known.remove(id);
@@ -128,14 +158,27 @@
         .toList();
   }
 
+  /** Takes in what the target at an IP number said of its work. */
+  public void onReport(String host, TargetReport report) {
+    atHost(host).forEach(known -> known.load().onReport(report));
+  }
+
   /** Returns the targets at an IP number. */
   public List<Known> atHost(String host) {
     return byHost.getOrDefault(host, List.of());
   }
 
   private void publish() {
+    Collection<Known> living =
+        known.values().stream()
+            .collect(
+                Collectors.toMap(
+                    each -> each.target().host() + ":" + each.target().port(),
+                    each -> each,
+                    Known::later))
+            .values();
     Map<String, List<Known>> byService = new HashMap<>();
-    known.values().stream()
+    living.stream()
         .filter(each -> !each.target().leaving())
         .forEach(
             each ->
@@ -144,6 +187,6 @@
                     .add(each));
     byService.replaceAll((service, targets) -> List.copyOf(targets));
     usableByService = Map.copyOf(byService);
-    byHost = known.values().stream().collect(Collectors.groupingBy(each -> each.target().host()));
+    byHost = living.stream().collect(Collectors.groupingBy(each -> each.target().host()));
   }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
@@ -52,7 +52,7 @@
   @BeforeEach
   void announce() {
     for (int rank = 0; rank < RANKS; rank++) {
-      targets.onAnnounced(new Target("t" + rank, "models", host(rank), 80, "z", 8, false, 1));
+      targets.onAnnounced(new Target("t" + rank, "models", host(rank), 80, "z", 8, false, 1), rank);
     }
   }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -7,6 +7,7 @@
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.MonotonicClock;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -17,6 +18,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -48,12 +50,16 @@
     target = new ServerSocket(0, 10, LOOPBACK);
     target.setSoTimeout(PATIENCE_MILLIS);
     targets.onAnnounced(
-        new Target("t", "s", LOOPBACK.getHostAddress(), target.getLocalPort(), "z", 2, false, 1));
+        new Target("t", "s", LOOPBACK.getHostAddress(), target.getLocalPort(), "z", 2, false, 1),
+        1);
     configuration =
         Optional.of(
             ServingConfiguration.of(
                 1,
-                List.of(route("/once/", RequestKind.ONCE), route("/any/", RequestKind.IDEMPOTENT)),
+                List.of(
+                    route("/once/", RequestKind.ONCE),
+                    route("/any/", RequestKind.IDEMPOTENT),
+                    route("/stream/", RequestKind.RESUMABLE_STREAM)),
                 Map.of(),
                 Map.of(),
                 false,
@@ -64,7 +70,8 @@
                 new PlainDialect(),
                 () -> configuration,
                 targets,
-                new RetryBudgets(1, 10, 10_000),
+                new RetryBudgets(new RetryBudgets.Limits(1, 10, 10_000)),
+                new StreamWatch(),
                 () -> 1,
                 new NeverStops(),
                 new RequestMetrics(new PrometheusRegistry())));
@@ -85,7 +92,7 @@
         0,
         0,
         List.of(new Route.Destination("s", 1)),
-        1,
+        kind.isStream() ? 2 : 1,
         false);
   }
 
@@ -262,6 +269,92 @@
         .endsWith("bad");
   }
 
+  private static void event(Socket seen, int id) throws IOException {
+    String bytes = "id: " + id + "\ndata: x\n\n";
+    String chunk = Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n";
+    seen.getOutputStream().write(chunk.getBytes(US));
+    seen.getOutputStream().flush();
+  }
+
+  @SuppressWarnings("StringConcatToTextBlock") // Line ends of HTTP are not those of a text block.
+  private Socket acceptStream(ServerSocket at) throws IOException {
+    Socket seen = at.accept();
+    seen.setSoTimeout(PATIENCE_MILLIS);
+    readHead(seen.getInputStream());
+    String head =
+        "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Type: text/event-stream\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n";
+    seen.getOutputStream().write(head.getBytes(US));
+    return seen;
+  }
+
+  // A reader's text stops in the middle of a sentence, and two seconds later the reader is gone.
+  // The
+  // connection to the target went silent without being closed, while all other streams moved on.
+  @Test
+  void streamThatAloneGoesSilentGoesOnAtAnotherTarget() throws IOException {
+    String request = "POST /stream/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    try (ServerSocket other = new ServerSocket(0, 10, LOOPBACK);
+        Socket caller = send(request);
+        Socket silent = acceptStream(target);
+        Socket neighbour = send(request);
+        Socket moving = acceptStream(target)) {
+      event(silent, 1);
+      other.setSoTimeout(100);
+      targets.onAnnounced(
+          new Target("u", "s", LOOPBACK.getHostAddress(), other.getLocalPort(), "z", 2, false, 1),
+          2);
+      Socket next = null;
+      for (int id = 1; next == null && id < 300; id++) {
+        event(moving, id);
+        next = acceptOrNull(other);
+      }
+      assertThat(next).isNotNull();
+      next.setSoTimeout(PATIENCE_MILLIS);
+      assertThat(readHead(next.getInputStream())).contains("after: 1\r\n");
+      assertThat(silent.getInputStream().read()).isEqualTo(-1);
+      assertThat(neighbour.isClosed() || caller.isClosed()).isFalse();
+      next.close();
+    }
+  }
+
+  private static Socket acceptOrNull(ServerSocket at) throws IOException {
+    try {
+      return at.accept();
+    } catch (SocketTimeoutException e) {
+      return null;
+    }
+  }
+
+  // A request fails although the service has a sound target. The one that was chosen had ended and
+  // another one has its address, which refuses what is not meant for it.
+  @Test
+  void requestForATargetThatIsGoneGoesToAnother() throws IOException {
+    try (ServerSocket other = new ServerSocket(0, 10, LOOPBACK);
+        Socket caller = send("GET /once/x HTTP/1.1\r\nHost: h\r\n\r\n");
+        Socket seen = target.accept()) {
+      readHead(seen.getInputStream());
+      targets.onAnnounced(
+          new Target("u", "s", LOOPBACK.getHostAddress(), other.getLocalPort(), "z", 2, false, 1),
+          2);
+      seen.getOutputStream()
+          .write("HTTP/1.1 421 Not I\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n".getBytes(US));
+      other.setSoTimeout(PATIENCE_MILLIS);
+      try (Socket second = other.accept()) {
+        readHead(second.getInputStream());
+        second.getOutputStream().write(OK.getBytes(US));
+      }
+
+      assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 200 ");
+      assertThat(targets.usable("s").stream().filter(each -> each.load().isSuspended(now())))
+          .hasSize(1);
+    }
+  }
+
+  private static long now() {
+    return MonotonicClock.millis();
+  }
+
   @Test
   void bytesAfterTheAnswerBelongToNobody() throws IOException {
     assertThat(relayed(OK + OK)).startsWith("HTTP/1.1 200 ").endsWith("\r\n\r\ngood");
--- a/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
@@ -12,6 +12,7 @@
   @Override
   public void address(HttpHeaders headers, TargetRequest request) {
     headers.set("target", request.targetId());
+    request.lastEventId().ifPresent(id -> headers.set("after", id));
   }
 
   @Override
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -14,15 +14,15 @@
 
   @Test
   void leavingTargetGetsNoNewRequests() {
-    directory.onAnnounced(target(false, 1));
-    directory.onAnnounced(target(true, 1));
+    directory.onAnnounced(target(false, 1), 1);
+    directory.onAnnounced(target(true, 1), 2);
 
     assertThat(directory.usable("pages")).isEmpty();
   }
 
   @Test
   void droppedTargetIsGoneAtOnceWhileTheStoreAnswers() {
-    directory.onAnnounced(target(false, 1));
+    directory.onAnnounced(target(false, 1), 3);
     directory.onDropped("t1", 500, 1_000);
 
     assertThat(directory.usable("pages")).isEmpty();
@@ -33,7 +33,7 @@
   // was read when it came back.
   @Test
   void targetWhoseEntryLapsedInAnOutageIsUsedUntilItCanHaveRenewedIt() {
-    directory.onAnnounced(target(false, 1));
+    directory.onAnnounced(target(false, 1), 4);
     directory.onDropped("t1", 6_000, 10_000);
     directory.tick(12_000);
     assertThat(directory.usable("pages")).hasSize(1);
@@ -44,9 +44,9 @@
 
   @Test
   void renewedEntryEndsTheGrace() {
-    directory.onAnnounced(target(false, 1));
+    directory.onAnnounced(target(false, 1), 5);
     directory.onDropped("t1", 6_000, 10_000);
-    directory.onAnnounced(target(false, 1));
+    directory.onAnnounced(target(false, 1), 6);
     directory.tick(20_000);
 
     assertThat(directory.usable("pages")).hasSize(1);
@@ -57,17 +57,58 @@
   // by the failures of its earlier life.
   @Test
   void laterStartUnderTheSameIdBeginsAnew() {
-    directory.onAnnounced(target(false, 1));
+    directory.onAnnounced(target(false, 1), 7);
     directory.usable("pages").get(0).load().onUnreachable(0);
-    directory.onAnnounced(target(false, 2));
+    directory.onAnnounced(target(false, 2), 8);
 
     assertThat(directory.usable("pages").get(0).load().isSuspended(1)).isFalse();
   }
 
+  private static Target at(String id, int port, long startedAt) {
+    return new Target(id, "pages", "10.0.0.1", port, "zone-a", 6, false, startedAt);
+  }
+
+  // Half of all requests are refused in the first seconds after a loss of power. Targets had
+  // started
+  // anew under other ids; the entries of their earlier lives had not lapsed yet, and whoever read
+  // both sent to both.
+  @Test
+  void targetWhoseAddressHasANewerEntryGetsNothing() {
+    directory.onAnnounced(at("new", 80, 0), 8);
+    directory.onAnnounced(at("old", 80, 0), 3);
+    directory.onAnnounced(at("beside", 81, 0), 4);
+
+    assertThat(directory.usable("pages"))
+        .extracting(known -> known.target().id())
+        .containsExactlyInAnyOrder("new", "beside");
+    assertThat(directory.atHost("10.0.0.1")).hasSize(2);
+  }
+
+  @Test
+  void laterStartCountsMoreThanALateEntry() {
+    directory.onAnnounced(at("new", 80, 2_000), 3);
+    directory.onAnnounced(at("old", 80, 1_000), 8);
+
+    assertThat(directory.usable("pages"))
+        .extracting(known -> known.target().id())
+        .containsExactly("new");
+  }
+
+  @Test
+  void renewedEntryTakesItsAddressBack() {
+    directory.onAnnounced(at("a", 80, 0), 3);
+    directory.onAnnounced(at("b", 80, 0), 4);
+    directory.onAnnounced(at("a", 80, 0), 5);
+
+    assertThat(directory.usable("pages"))
+        .extracting(known -> known.target().id())
+        .containsExactly("a");
+  }
+
   @Test
   void entryOfAnEarlierLifeChangesNothing() {
-    directory.onAnnounced(target(false, 2));
-    directory.onAnnounced(target(true, 1));
+    directory.onAnnounced(target(false, 2), 9);
+    directory.onAnnounced(target(true, 1), 10);
 
     assertThat(directory.usable("pages")).hasSize(1);
   }
--- a/node/src/main/java/dev/ibishub/node/AgentNode.java
+++ b/node/src/main/java/dev/ibishub/node/AgentNode.java
@@ -52,8 +52,8 @@
     logger.atInfo().log(
         "%s", LogEvent.of("agent.started").with("engine", settings.engineAddress().orElse("")));
     // Without a handler of its own the JVM ends on SIGHUP, which here only says that the settings
-    // may have changed.
-    new SettingsWatch(file, settings).start(group);
+    // may have changed. An agent uses none that can change while it runs.
+    new SettingsWatch(file, settings, changed -> {}).start(group);
     StopSignals.onStop(
         () -> {
           logger.atInfo().log("%s", LogEvent.of("agent.stopped"));
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -9,6 +9,7 @@
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
 import dev.ibishub.gateway.front.RetryBudgets;
+import dev.ibishub.gateway.front.StreamWatch;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.http.HttpCaller;
 import dev.ibishub.gateway.http.PageServer;
@@ -81,7 +82,7 @@
   private static final FollowerOptions ENTRIES =
       new FollowerOptions(StoreClient.ENTRIES_TOPIC, 5_000, 1_500, 0);
 
-  private final NodeSettings settings;
+  private volatile NodeSettings settings;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
   private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
@@ -97,6 +98,7 @@
   private final RankLinks ranks;
   private final RankPaths paths;
   private final GracefulStop stop;
+  private final RetryBudgets budgets;
   private volatile boolean isListening;
   private volatile boolean isAnnounced;
 
@@ -107,6 +109,7 @@
     metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
     targets = new TargetDirectory(settings.zone());
     stop = new GracefulStop(settings);
+    budgets = new RetryBudgets(retryLimits(settings));
     store =
         new StoreClient(
             caller, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
@@ -152,16 +155,21 @@
         this::onProgress);
   }
 
+  private static RetryBudgets.Limits retryLimits(NodeSettings settings) {
+    return new RetryBudgets.Limits(
+        settings.retriesPerRequest(),
+        settings.sharedRetryAllowance(),
+        TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds()));
+  }
+
   private CallerServer newServer() {
     return new CallerServer(
         new RequestContext(
             new HeaderDialect(),
             configuration::get,
             targets,
-            new RetryBudgets(
-                settings.retriesPerRequest(),
-                settings.sharedRetryAllowance(),
-                TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds())),
+            budgets,
+            new StreamWatch(),
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry)));
@@ -199,7 +207,7 @@
         Sockets.address(settings.directoryAddress().orElseThrow()),
         AddressPages.addresses(
             () -> mesh.callerAddresses(MonotonicClock.millis()),
-            settings.addressValiditySeconds()));
+            () -> settings.addressValiditySeconds()));
     if (settings.metricsPort() > 0) {
       PageServer.listen(
           group,
@@ -207,7 +215,15 @@
           new MetricsText(PrometheusRegistry.defaultRegistry, this::updateMetrics));
     }
     StopSignals.onStop(() -> stop.run(server));
-    new SettingsWatch(file, settings).start(ticker);
+    new SettingsWatch(file, settings, this::apply).start(ticker);
+  }
+
+  /** Takes over what changed in the settings, without a pause in serving. */
+  private void apply(NodeSettings changed) {
+    settings = changed;
+    budgets.change(retryLimits(changed));
+    stop.change(changed);
+    mesh.addHosts(changed.seeds().stream().map(Sockets::host).toList(), MonotonicClock.millis());
   }
 
   private RecordFollower follower(FollowerOptions options, Consumer<RecordChange> onChange) {
@@ -321,7 +337,7 @@
       return;
     }
     try {
-      targets.onAnnounced(TargetEntryDecoder.decode(change.record()));
+      targets.onAnnounced(TargetEntryDecoder.decode(change.record()), change.record().offset());
     } catch (IOException | IllegalArgumentException e) {
       logger.atWarning().log(
           "%s",
--- a/node/src/main/java/dev/ibishub/node/GracefulStop.java
+++ b/node/src/main/java/dev/ibishub/node/GracefulStop.java
@@ -32,13 +32,18 @@
   private static final long LOOK_MILLIS = 50;
   private static final long NOT_LEAVING = Long.MAX_VALUE;
 
-  private final NodeSettings settings;
+  private volatile NodeSettings settings;
   private volatile long leavingSince = NOT_LEAVING;
 
   GracefulStop(NodeSettings settings) {
     this.settings = settings;
   }
 
+  /** Goes by other settings from now on. */
+  void change(NodeSettings changed) {
+    settings = changed;
+  }
+
   @Override
   public boolean isLeaving() {
     return leavingSince != NOT_LEAVING;
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -2,7 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Settings of an {@code ibishub-node}, the program that runs on the users' platform.
@@ -93,6 +95,19 @@
               .defaultingTo(10L),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L));
 
+  private static final Map<String, Function<NodeSettings, Object>> FIXED =
+      Map.of(
+          "processId", NodeSettings::processId,
+          "zone", NodeSettings::zone,
+          "host", NodeSettings::host,
+          "linkPort", NodeSettings::linkPort,
+          "callerAddress", NodeSettings::callerAddress,
+          "readinessAddress", NodeSettings::readinessAddress,
+          "directoryAddress", NodeSettings::directoryAddress,
+          "storeAddress", NodeSettings::storeAddress,
+          "engineAddress", NodeSettings::engineAddress,
+          "metricsPort", NodeSettings::metricsPort);
+
   /** Copies the seeds. */
   public NodeSettings {
     seeds = List.copyOf(seeds);
@@ -118,6 +133,37 @@
     return SettingsFiles.parse(file, text, SCHEMA, NodeSettings::check, NodeSettings::of);
   }
 
+  /** Returns the keys of names and addresses, fixed while a process runs, that differ. */
+  public List<String> fixedDifferences(NodeSettings other) {
+    return FIXED.entrySet().stream()
+        .filter(key -> !key.getValue().apply(this).equals(key.getValue().apply(other)))
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
+  }
+
+  /** Returns these settings with the names and addresses of others. */
+  public NodeSettings withFixedOf(NodeSettings other) {
+    return new NodeSettings(
+        other.processId,
+        other.zone,
+        other.host,
+        other.linkPort,
+        seeds,
+        other.callerAddress,
+        other.readinessAddress,
+        other.directoryAddress,
+        other.storeAddress,
+        other.engineAddress,
+        addressValiditySeconds,
+        longestAddressValiditySeconds,
+        graceSeconds,
+        retriesPerRequest,
+        sharedRetryAllowance,
+        retryWindowSeconds,
+        other.metricsPort);
+  }
+
   private static void check(Section root, List<Fault> faults) {
     List<String> ofEntries =
         List.of("callerAddress", "readinessAddress", "directoryAddress", "storeAddress");
