--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.platform.standins.Deployment;
+import dev.ibishub.platform.standins.RankGroup;
+import dev.ibishub.platform.standins.TargetStandIn;
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -20,7 +23,7 @@
 
   @BeforeEach
   void start() throws IOException, InterruptedException {
-    deployment = new Deployment();
+    deployment = new Deployment(Deployment.Programs.onThisClassPath(NodeMain.class.getName()));
     deployment.publish(3, "pages", "key-1");
     first = deployment.target("i-1", "127.0.0.1", "pages");
     second = deployment.target("i-2", "127.0.0.1", "pages");
@@ -197,6 +200,48 @@
     assertThat(page("entry-2").statusCode()).isEqualTo(200);
   }
 
+  // An operator halves the time for which callers keep addresses, and nothing changes until the
+  // next
+  // start: settings were read again and checked, but no one used them.
+  @Test
+  void changedSettingsAreInForceWithoutARestart() throws IOException, InterruptedException {
+    deployment.changeSettings(
+        "entry-1", "\"addressValiditySeconds\":2.0", "\"addressValiditySeconds\":1.0");
+
+    deployment.await("new time", () -> deployment.resolve("entry-1").contains("\"ttl_s\":1.0"));
+    assertThat(deployment.logOf("entry-1")).containsOnlyOnce("entry.started");
+  }
+
+  // All streams pause for longer than they may: two experts that everybody wants stand at one rank.
+  // The leading entry reads what was chosen, has a copy made and lets all ranks switch at one step,
+  // also when a rank leaves orders unanswered and carries them out seconds later.
+  @Test
+  void expertsAreCopiedToWhereTheyAreWantedAndAllRanksSwitchAtOneStep()
+      throws IOException, InterruptedException {
+    RankGroup group = deployment.group("groups", new RankGroup.Options(4, 2, 8, 4, 2, 3));
+    for (int rank = 0; rank < 4; rank++) {
+      deployment.startAgent("agent-" + rank, deployment.rank(rank));
+    }
+    deployment.publish(9, "groups", "key-1");
+    group.setPopularity(new double[][] {{9, 1, 1, 1, 9, 1, 1, 1}, {1, 1, 1, 1, 1, 1, 1, 1}});
+    deployment.await("a switch", () -> group.switches() >= 4);
+    deployment.loseOrders(1, 3);
+    group.setPopularity(new double[][] {{1, 1, 1, 1, 1, 1, 1, 1}, {1, 9, 1, 1, 1, 9, 1, 1}});
+    deployment.await("another switch", () -> group.switches() >= 8);
+    deployment.await("no step held", () -> !group.isHeld());
+
+    assertThat(group.breaches()).isEmpty();
+  }
+
+  @Test
+  void wrongSettingsAreRefusedAndTheOldOnesStay() throws IOException, InterruptedException {
+    deployment.changeSettings(
+        "entry-1", "\"addressValiditySeconds\":2.0", "\"addressValiditySeconds\":-1");
+
+    deployment.await("refused", () -> deployment.logOf("entry-1").contains("settings.refused"));
+    assertThat(deployment.resolve("entry-1")).contains("\"ttl_s\":2.0");
+  }
+
   // Sixteen agents end at once and maps stand still. Settings had changed and every process got a
   // SIGHUP; the agents had no handler, and a process without one ends.
   @Test
--- a/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
@@ -1,6 +1,4 @@
-package dev.ibishub.node;
-
-import static org.assertj.core.api.Assertions.assertThat;
+package dev.ibishub.platform.standins;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,6 +9,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -19,9 +18,15 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /** Entries and agents as real processes on loopback, with stand-ins for everything outside. */
-final class Deployment implements AutoCloseable {
+public final class Deployment implements AutoCloseable {
+  private static final long PASS_MILLIS = 50;
   private static final Duration PATIENCE = Duration.ofSeconds(60);
 
   static {
@@ -38,22 +43,73 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final int linkPort = freePort("127.0.0.1");
 
-  Deployment() throws IOException {}
+  private final Programs programs;
+  private final List<RankGroup> groups = new CopyOnWriteArrayList<>();
+  private final List<RankStandIn> ranks = new ArrayList<>();
+  private final ScheduledExecutorService passes = Executors.newSingleThreadScheduledExecutor();
+
+  /**
+   * How the program under test is run.
+   *
+   * @param command the command up to the arguments of the program, by the name of the process
+   */
+  public record Programs(Function<String, List<String>> command) {
+    /** Runs the program on the class path of this process. */
+    public static Programs onThisClassPath(String mainClass) {
+      return new Programs(
+          name ->
+              List.of(
+                  Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                  "-Xmx64m",
+                  "-XX:+UseSerialGC",
+                  "-XX:TieredStopAtLevel=1",
+                  "-cp",
+                  System.getProperty("java.class.path"),
+                  mainClass));
+    }
+  }
+
+  /**
+   * Creates a deployment with a store and nothing else.
+   *
+   * @param programs how the program under test is run
+   * @throws IOException when no port is free
+   */
+  public Deployment(Programs programs) throws IOException {
+    this.programs = programs;
+    passes.scheduleWithFixedDelay(
+        () -> groups.forEach(RankGroup::pass), PASS_MILLIS, PASS_MILLIS, TimeUnit.MILLISECONDS);
+  }
 
-  StoreStandIn store() {
+  /** Returns the store. */
+  public StoreStandIn store() {
     return store;
   }
 
-  Process process(String name) {
+  /** Returns a process that was started here. */
+  public Process process(String name) {
     return processes.get(name);
   }
 
-  String callerAddress(String entry) {
+  /** Returns where an entry takes callers' requests. */
+  public String callerAddress(String entry) {
     return addresses.get(entry).get("callerAddress");
   }
 
+  /** The figures of the engines of all groups; they are taken to be alike. */
+  private String engine() {
+    RankGroup.Options options =
+        groups.isEmpty() ? new RankGroup.Options(1, 1, 1, 1, 1, 1) : groups.get(0).options();
+    return """
+        {"slots":8,"step_ms":4.84,"per_seq_ms":0.54,"stride":6,"link_mbps":180000,
+         "expert_mb":2500,"sets":%d,"experts":%d,"placements":%d,"spare":%d,
+         "usual":{"prompt":800,"answer":160}}
+        """
+        .formatted(options.sets(), options.experts(), options.places(), options.newPerSet());
+  }
+
   /** Publishes a configuration with a page route, a stream route, and the keys of one workspace. */
-  void publish(int version, String pageService, String... keys) {
+  public void publish(int version, String pageService, String... keys) {
     String quoted = keys.length == 0 ? "" : "\"" + String.join("\",\"", keys) + "\"";
     store.put(
         "keyed.op",
@@ -66,20 +122,60 @@
           "timeout_ms":5000,"service":"%s","max_attempts":1,"public":true},
          {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming",
           "timeout_ms":5000,"service":"%s","max_attempts":2,"public":true,"resumable":true}],
-         "services":[{"name":"pages"},{"name":"other"},{"name":"models","engine":{"slots":4}}],
+         "services":[{"name":"pages"},{"name":"other"},{"name":"models","engine":{"slots":4}},
+         {"name":"groups","engine":%s}],
          "tenants":[{"name":"w1","api_keys":[%s]}]}
         """
-            .formatted(version, pageService, pageService, pageService, quoted));
+            .formatted(version, pageService, pageService, pageService, engine(), quoted));
   }
 
-  TargetStandIn target(String id, String host, String service) throws IOException {
+  /** Starts a target that announces itself. */
+  public TargetStandIn target(String id, String host, String service) throws IOException {
     TargetStandIn target = new TargetStandIn(id, host);
     targets.add(target);
     store.put("keyed.servers", id, target.entry(service, "ready"));
     return target;
   }
 
-  void startEntry(String name, String host, String seed) throws IOException {
+  /** Starts the targets of a group of ranks, each on an IP number of its own. */
+  public RankGroup group(String service, RankGroup.Options options) throws IOException {
+    RankGroup group = new RankGroup(options);
+    groups.add(group);
+    for (int rank = 0; rank < options.ranks(); rank++) {
+      TargetStandIn target = target("r-" + rank, "127.0.3." + (rank + 1), service);
+      ranks.add(target.joinGroup(group, rank));
+    }
+    return group;
+  }
+
+  /** Returns the target that is a rank of the first group. */
+  public TargetStandIn rank(int number) {
+    return targets.stream()
+        .filter(target -> target.id().equals("r-" + number))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Lets a rank leave its next orders unanswered and carry them out later. */
+  public void loseOrders(int rank, int number) {
+    ranks.get(rank).loseOrders(number);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param seed IP number of the entry that it begins with
+   */
+  public void startEntry(String name, String host, String seed) throws IOException {
+    startEntry(name, host, seed, "");
+  }
+
+  /**
+   * Starts an entry with more settings.
+   *
+   * @param more keys and values in JSON, each after a comma
+   */
+  public void startEntry(String name, String host, String seed, String more) throws IOException {
     Map<String, String> keys = new LinkedHashMap<>();
     for (String key : List.of("callerAddress", "readinessAddress", "directoryAddress")) {
       keys.put(key, host + ":" + freePort(host));
@@ -88,11 +184,15 @@
     StringBuilder settings = new StringBuilder(common(name, host));
     keys.forEach((key, value) -> settings.append(",\"%s\":\"%s\"".formatted(key, value)));
     settings.append(",\"storeAddress\":\"%s\"".formatted(store.address()));
-    settings.append(",\"seeds\":[\"%s:1\"],\"sharedRetryAllowance\":40}".formatted(seed));
+    settings.append(
+        ",\"seeds\":[\"%s:1\"],\"sharedRetryAllowance\":40,\"addressValiditySeconds\":2.0"
+            .formatted(seed));
+    settings.append(more).append('}');
     start(name, settings.toString());
   }
 
-  void startAgent(String name, TargetStandIn target) throws IOException {
+  /** Starts an agent beside a target. */
+  public void startAgent(String name, TargetStandIn target) throws IOException {
     String host = target.address().split(":", 2)[0];
     start(name, common(name, host) + ",\"engineAddress\":\"%s\"}".formatted(target.address()));
   }
@@ -104,25 +204,18 @@
 
   private void start(String name, String settings) throws IOException {
     Path file = Files.writeString(folder.resolve(name + ".json"), settings);
-    Path java = Path.of(System.getProperty("java.home"), "bin", "java");
+    List<String> command = new ArrayList<>(programs.command().apply(name));
+    command.addAll(List.of("--settings", file.toString()));
     processes.put(
         name,
-        new ProcessBuilder(
-                java.toString(),
-                "-Xmx64m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                NodeMain.class.getName(),
-                "--settings",
-                file.toString())
+        new ProcessBuilder(command)
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve(name + ".log").toFile())
             .start());
   }
 
-  HttpResponse<String> call(String entry, String method, String path, String key)
+  /** Sends one request to an entry; an empty key is none. */
+  public HttpResponse<String> call(String entry, String method, String path, String key)
       throws IOException, InterruptedException {
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + callerAddress(entry) + path))
@@ -141,17 +234,32 @@
   }
 
   /** Returns what a process has logged. */
-  String logOf(String name) throws IOException {
+  public String logOf(String name) throws IOException {
     return Files.readString(folder.resolve(name + ".log"));
   }
 
+  /** Writes an entry's settings anew, with one text replaced, as the platform does on a change. */
+  public void changeSettings(String name, String text, String replacement) throws IOException {
+    Path file = folder.resolve(name + ".json");
+    Path next = Files.writeString(folder.resolve(name + ".new"), read(file, text, replacement));
+    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  private static String read(Path file, String text, String replacement) throws IOException {
+    String settings = Files.readString(file);
+    if (!settings.contains(text)) {
+      throw new IllegalArgumentException("expected " + text + " in " + settings);
+    }
+    return settings.replace(text, replacement);
+  }
+
   /** Sends SIGHUP. */
-  void hangUp(String name) throws IOException, InterruptedException {
+  public void hangUp(String name) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-HUP", Long.toString(processes.get(name).pid())).start().waitFor();
   }
 
   /** Asks an entry which addresses to use. */
-  String resolve(String entry) throws IOException, InterruptedException {
+  public String resolve(String entry) throws IOException, InterruptedException {
     URI page =
         URI.create(
             "http://"
@@ -162,7 +270,8 @@
         .body();
   }
 
-  int readiness(String entry) throws IOException, InterruptedException {
+  /** Asks an entry whether it is ready, as the platform does. */
+  public int readiness(String entry) throws IOException, InterruptedException {
     URI page =
         URI.create("http://" + addresses.get(entry).get("readinessAddress") + "/ibishub/readiness");
     return client
@@ -171,10 +280,12 @@
   }
 
   /** Waits until something holds; what throws does not hold yet. */
-  void await(String what, Callable<Boolean> condition) throws InterruptedException {
+  public void await(String what, Callable<Boolean> condition) throws InterruptedException {
     Instant until = Instant.now().plus(PATIENCE);
     while (!holds(condition)) {
-      assertThat(Instant.now()).as("%s, logs in %s", what, folder).isBefore(until);
+      if (Instant.now().isAfter(until)) {
+        throw new IllegalStateException("not so: " + what + "; logs in " + folder);
+      }
       Thread.sleep(50);
     }
   }
@@ -198,6 +309,7 @@
 
   @Override
   public void close() {
+    passes.shutdownNow();
     processes.values().forEach(Process::destroyForcibly);
     targets.forEach(TargetStandIn::close);
     store.close();
--- /dev/null
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/RankOrderBody.java
@@ -0,0 +1,54 @@
+package dev.ibishub.platform.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+
+/**
+ * An order as it stands in the body of a call.
+ *
+ * @param operation what to do
+ * @param version the map concerned
+ * @param step the step concerned
+ * @param epoch the group's epoch that it is meant for
+ * @param fence its fencing token
+ * @param map experts by set and rank, empty where the order has none
+ */
+@SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
+record RankOrderBody(
+    String operation, long version, long step, OptionalLong epoch, long fence, int[][][] map) {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /**
+   * Reads a body.
+   *
+   * @throws IOException when it is no JSON
+   */
+  static RankOrderBody read(byte[] body) throws IOException {
+    JsonNode order = JSON.readTree(body);
+    JsonNode epoch = order.path("epoch");
+    return new RankOrderBody(
+        order.path("operation").asText(),
+        order.path("version").asLong(),
+        order.path("step").asLong(),
+        epoch.isNumber() ? OptionalLong.of(epoch.asLong()) : OptionalLong.empty(),
+        order.path("fencing_token").asLong(),
+        map(order.path("map")));
+  }
+
+  private static int[][][] map(JsonNode sets) {
+    return IntStream.range(0, sets.size())
+        .mapToObj(
+            set ->
+                IntStream.range(0, sets.get(set).size())
+                    .mapToObj(rank -> experts(sets.get(set).get(rank)))
+                    .toArray(int[][]::new))
+        .toArray(int[][][]::new);
+  }
+
+  private static int[] experts(JsonNode list) {
+    return IntStream.range(0, list.size()).map(i -> list.get(i).asInt()).toArray();
+  }
+}
--- a/platform-standins/src/main/java/dev/ibishub/platform/standins/StoreStandIn.java
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/StoreStandIn.java
@@ -1,4 +1,4 @@
-package dev.ibishub.node;
+package dev.ibishub.platform.standins;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -21,20 +21,28 @@
 
 /**
  * Stands in for the platform's store: keyed topics with one partition, read in order or by the
- * newest record of each key. Its encoding is its own, so that an error of the adapter can't hide in
- * it.
+ * newest record of each key, and appended to under a condition. It can be down, slow, lose answers
+ * and forget its history. Groups of members are left out, as ibishub uses none. Thread-safe.
  */
-final class StoreStandIn implements AutoCloseable {
+public final class StoreStandIn implements AutoCloseable {
   private static final long LONGEST_WAIT_MILLIS = 30_000;
 
   private final Map<String, List<Entry>> topics = new LinkedHashMap<>();
+  private final Map<String, Integer> firstKept = new LinkedHashMap<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final HttpServer server;
   private volatile boolean isDown;
+  private volatile long delayMillis;
+  private volatile boolean losesAnswers;
 
   private record Entry(String key, String value) {}
 
-  StoreStandIn() throws IOException {
+  /**
+   * Starts to answer on a free port of loopback.
+   *
+   * @throws IOException when there is none
+   */
+  public StoreStandIn() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(threads);
     server.createContext("/ibishub/log-read", exchange -> serve(exchange, this::read));
@@ -43,16 +51,34 @@
     server.start();
   }
 
-  String address() {
+  /** Returns IP number and port. */
+  public String address() {
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
-  void setDown(boolean down) {
+  /** Sets whether every call is refused as by a store that is down. */
+  public void setDown(boolean down) {
     isDown = down;
   }
 
+  /** Sets how late every call is answered, milliseconds. */
+  public void setDelayMillis(long millis) {
+    delayMillis = millis;
+  }
+
+  /** Sets whether appends are done and not answered. */
+  public void setLosesAnswers(boolean loses) {
+    losesAnswers = loses;
+  }
+
+  /** Forgets the history; the newest record of each key stays. */
+  public synchronized void forgetHistory() {
+    firstKept.replaceAll((topic, first) -> topics.getOrDefault(topic, List.of()).size());
+    topics.forEach((topic, entries) -> firstKept.put(topic, entries.size()));
+  }
+
   /** Writes a record; an empty value drops the key. */
-  synchronized void put(String topic, String key, String value) {
+  public synchronized void put(String topic, String key, String value) {
     topics.computeIfAbsent(topic, any -> new ArrayList<>()).add(new Entry(key, value));
     notifyAll();
   }
@@ -64,7 +90,14 @@
   }
 
   private interface Page {
-    byte[] make(Map<String, String> query, byte[] body) throws IOException, InterruptedException;
+    Answer make(Map<String, String> query, byte[] body) throws IOException, InterruptedException;
+  }
+
+  @SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
+  private record Answer(int status, byte[] body) {
+    static Answer json(int status, String text) {
+      return new Answer(status, text.getBytes(StandardCharsets.UTF_8));
+    }
   }
 
   private void serve(HttpExchange exchange, Page page) throws IOException {
@@ -74,9 +107,13 @@
         exchange.sendResponseHeaders(503, -1);
         return;
       }
-      byte[] answer = page.make(query(exchange), body);
-      exchange.sendResponseHeaders(200, answer.length);
-      exchange.getResponseBody().write(answer);
+      Thread.sleep(delayMillis);
+      Answer answer = page.make(query(exchange), body);
+      if (losesAnswers && exchange.getRequestMethod().equals("POST")) {
+        return;
+      }
+      exchange.sendResponseHeaders(answer.status(), answer.body().length);
+      exchange.getResponseBody().write(answer.body());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -88,9 +125,13 @@
         .collect(Collectors.toMap(pair -> pair[0], pair -> pair[1]));
   }
 
-  private synchronized byte[] read(Map<String, String> query, byte[] body)
+  private synchronized Answer read(Map<String, String> query, byte[] body)
       throws IOException, InterruptedException {
     int from = Integer.parseInt(query.get("from"));
+    int first = firstKept.getOrDefault(query.get("topic"), 0);
+    if (from < first) {
+      return Answer.json(410, "{\"first\":" + first + "}");
+    }
     long wait = Math.min(LONGEST_WAIT_MILLIS, Long.parseLong(query.getOrDefault("wait_ms", "0")));
     long until = System.currentTimeMillis() + wait;
     List<Entry> entries = topics.computeIfAbsent(query.get("topic"), any -> new ArrayList<>());
@@ -100,7 +141,7 @@
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     DataOutputStream output = new DataOutputStream(bytes);
     output.writeLong(entries.size());
-    output.writeLong(0);
+    output.writeLong(first);
     for (Entry entry : entries.subList(Math.min(from, entries.size()), entries.size())) {
       byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
       byte[] value = entry.value().getBytes(StandardCharsets.UTF_8);
@@ -109,10 +150,10 @@
       output.write(key);
       output.write(value);
     }
-    return bytes.toByteArray();
+    return new Answer(200, bytes.toByteArray());
   }
 
-  private synchronized byte[] newest(Map<String, String> query, byte[] body) {
+  private synchronized Answer newest(Map<String, String> query, byte[] body) {
     List<Entry> entries = topics.getOrDefault(query.get("topic"), List.of());
     Map<String, Integer> last = new LinkedHashMap<>();
     for (int offset = 0; offset < entries.size(); offset++) {
@@ -124,7 +165,7 @@
             .map(key -> item(key.getKey(), entries.get(key.getValue()), key.getValue()))
             .collect(Collectors.joining(","));
     String page = "{\"items\":[" + items + "],\"has_more\":false,\"end\":" + entries.size() + "}";
-    return page.getBytes(StandardCharsets.UTF_8);
+    return Answer.json(200, page);
   }
 
   private static String item(String key, Entry entry, int offset) {
@@ -133,17 +174,23 @@
     return "{\"key\":\"" + key + "\",\"value\":\"" + value + "\",\"offset\":" + offset + "}";
   }
 
-  private byte[] append(Map<String, String> query, byte[] body) {
+  private synchronized Answer append(Map<String, String> query, byte[] body) {
+    String topic = query.get("topic");
+    int end = topics.getOrDefault(topic, List.of()).size();
+    if (query.containsKey("at") && Integer.parseInt(query.get("at")) != end) {
+      return Answer.json(412, "{\"end\":" + end + "}");
+    }
     ByteBuffer records = ByteBuffer.wrap(body);
     while (records.hasRemaining()) {
       byte[] record = new byte[records.getInt()];
       records.get(record);
       int length = record[0];
       put(
-          query.get("topic"),
+          topic,
           new String(record, 1, length, StandardCharsets.UTF_8),
           new String(record, 1 + length, record.length - 1 - length, StandardCharsets.UTF_8));
     }
-    return "{\"offset\":0,\"end\":0}".getBytes(StandardCharsets.UTF_8);
+    int newEnd = topics.getOrDefault(topic, List.of()).size();
+    return Answer.json(200, "{\"offset\":%d,\"end\":%d}".formatted(end, newEnd));
   }
 }
--- a/platform-standins/src/main/java/dev/ibishub/platform/standins/TargetStandIn.java
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/TargetStandIn.java
@@ -1,4 +1,4 @@
-package dev.ibishub.node;
+package dev.ibishub.platform.standins;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -14,14 +14,16 @@
 /**
  * Stands in for a target: answers pages and event streams, and refuses what is meant for others.
  */
-final class TargetStandIn implements AutoCloseable {
-  static final int EVENTS = 5;
+public final class TargetStandIn implements AutoCloseable {
+  /** Events of each stream. */
+  public static final int EVENTS = 5;
 
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Queue<String> ran = new ConcurrentLinkedQueue<>();
   private final HttpServer server;
   private final String id;
   private final String host;
+  private RankStandIn rank;
   private volatile int breaksAfter = Integer.MAX_VALUE;
 
   TargetStandIn(String id, String host) throws IOException {
@@ -33,25 +35,34 @@
     server.start();
   }
 
-  String id() {
+  /** Makes it a rank of a group, which takes orders besides. */
+  RankStandIn joinGroup(RankGroup group, int number) {
+    rank = new RankStandIn(group, number, server);
+    return rank;
+  }
+
+  /** Returns its id. */
+  public String id() {
     return id;
   }
 
   /** The ids of attempts that ran here, with what the entry said of them. */
-  Queue<String> ran() {
+  public Queue<String> ran() {
     return ran;
   }
 
   /** Lets streams end without their last piece after so many events. */
-  void breakStreamsAfter(int events) {
+  public void breakStreamsAfter(int events) {
     breaksAfter = events;
   }
 
-  String address() {
+  /** Returns IP number and port. */
+  public String address() {
     return host + ":" + server.getAddress().getPort();
   }
 
-  String entry(String service, String state) {
+  /** Makes the entry by which it announces itself. */
+  public String entry(String service, String state) {
     return "{\"service\":\""
         + service
         + "\",\"address\":\""
@@ -63,6 +74,9 @@
 
   @Override
   public void close() {
+    if (rank != null) {
+      rank.close();
+    }
     server.stop(0);
     threads.shutdownNow();
   }
