Ask a second target beside a silent one; tell callers of a starting process to return later

Changes: (1) the first target goes on while the second is asked, and the first good answer counts. (2) A process that has known no configuration for over a second tells callers to return as late as they would wait, spread over the last two fifths of that. Exchange keeps a list of attempts; copying a request and choosing among targets moved out of it. Ruled out for (2): refusing connections while nothing is known; callers count that as a try as well. Tests: silentTargetMayStillAnswerAfterAnotherWasAskedAsWell, callersOfAProcessThatWaitsForTheStoreReturnAsLateAsTheyWouldWait.

--- a/core/src/main/java/dev/ibishub/core/serving/ReturnAdvice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/ReturnAdvice.java
@@ -1,5 +1,7 @@
 package dev.ibishub.core.serving;
 
+import java.util.OptionalLong;
+
 /**
  * When a caller whose request was refused should come back. Stateless.
  *
@@ -24,6 +26,16 @@
    */
   private static final double LEAST_PART = 0.6;
 
+  /**
+   * A process that starts knows its configuration within this, milliseconds, if it can be had (0.4
+   * to 0.5 s measured on a VM with three quarters of a core). One that still knows none has to wait
+   * for the store, which may take seconds.
+   */
+  private static final long USUAL_START_MILLIS = 1_000;
+
+  /** Time that a caller is taken to have who doesn't say, milliseconds. */
+  private static final long UNSAID_LEFT_MILLIS = 1_500;
+
   private ReturnAdvice() {}
 
   /**
@@ -36,6 +48,20 @@
     return FULL_MILLIS + (long) (point * FULL_SPREAD_MILLIS);
   }
 
+  /**
+   * Advises a caller of a process that can't judge requests yet.
+   *
+   * @param sinceStartMillis how long ago it started, milliseconds
+   * @param leftMillis how long the caller will wait, milliseconds, where it says so
+   * @param point a number from 0 to below 1, drawn evenly
+   * @return milliseconds
+   */
+  public static long whileStarting(long sinceStartMillis, OptionalLong leftMillis, double point) {
+    return sinceStartMillis < USUAL_START_MILLIS
+        ? whenFull(point)
+        : whileClosed(leftMillis.orElse(UNSAID_LEFT_MILLIS), point);
+  }
+
   /**
    * Advises a caller where no target takes requests at present.
    *
--- a/core/src/test/java/dev/ibishub/core/serving/ReturnAdviceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/ReturnAdviceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 final class ReturnAdviceTest {
@@ -20,6 +21,19 @@
     assertThat(ReturnAdvice.whileClosed(8_000, 0.999)).isBetween(2_600L, 2_667L);
   }
 
+  // Eight in ten callers are refused for good two seconds after all entries were killed. The store
+  // was
+  // away for another half second; entries that knew no configuration told callers to return at
+  // once,
+  // and they return once.
+  @Test
+  void callersOfAProcessThatWaitsForTheStoreReturnAsLateAsTheyWouldWait() {
+    assertThat(ReturnAdvice.whileStarting(1_500, OptionalLong.of(8_000), 0.5))
+        .isBetween(2_000L, 2_200L);
+    assertThat(ReturnAdvice.whileStarting(300, OptionalLong.of(8_000), 0.5)).isEqualTo(500);
+    assertThat(ReturnAdvice.whileStarting(1_500, OptionalLong.empty(), 0)).isEqualTo(300);
+  }
+
   @Test
   void callersWithLittleTimeAreNotToldToReturnAtOnce() {
     assertThat(ReturnAdvice.whileClosed(300, 0.5)).isEqualTo(250);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -9,16 +9,11 @@
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
 import dev.ibishub.runtime.MonotonicClock;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -55,9 +50,10 @@
   private static final long LEAVING_RETRY_MILLIS = 10;
 
   /**
-   * How long a page may take before another target is asked, milliseconds. Pages take 60 to 90 and
-   * hardly one in a hundred more than this; a target that swallows requests otherwise costs the
-   * caller the whole time of the route.
+   * How long a page may take before another target is asked as well, milliseconds. Most pages take
+   * 60 to 90; a target that swallows requests otherwise costs the caller the whole time of the
+   * route. The first target goes on: given up, one in seven of those asked instead failed where the
+   * first would have answered.
    */
   private static final long PAGE_SILENCE_MILLIS = 260;
 
@@ -74,14 +70,10 @@
   private final long arrivedAt = MonotonicClock.millis();
   private final PauseWatch pauses = new PauseWatch(arrivedAt);
   private final Set<String> tried = new HashSet<>();
+  private final List<Attempt> attempts = new ArrayList<>();
 
   private Routing.Routed routed;
   private ScheduledFuture<?> timer;
-  private ScheduledFuture<?> silence;
-  private AttemptRelay attempt;
-  private TargetDirectory.Known target;
-  private long heardAt;
-  private boolean hasPiece;
   private int runs;
   private int sends;
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
@@ -110,12 +102,14 @@
   }
 
   void start() {
+    double point = ThreadLocalRandom.current().nextDouble();
     Optional<ServingConfiguration> configuration = context.configuration().get();
     if (configuration.isEmpty()) {
-      refuse(ResultCode.NOT_READY, UNKNOWN_RETRY_MILLIS);
+      long sinceStart = arrivedAt - context.startedAt();
+      refuse(
+          ResultCode.NOT_READY, ReturnAdvice.whileStarting(sinceStart, caller.waitMillis(), point));
       return;
     }
-    double point = ThreadLocalRandom.current().nextDouble();
     Routing found = Routing.of(configuration.get(), request, caller, arrivedAt, point);
     log.onRouting(found);
     if (found instanceof Routing.Refused refused) {
@@ -147,11 +141,10 @@
 
   /** The caller reads again, or no longer. */
   void onWritable(boolean writable) {
-    if (attempt != null) {
-      attempt.setReading(writable);
-    }
+    attempts.forEach(attempt -> attempt.relay.setReading(writable));
   }
 
+  /** Sends the request to a target, or ends it where there is none. */
   private void send() {
     long now = MonotonicClock.millis();
     if (routed.deadline() - now < LEAST_USEFUL_MILLIS) {
@@ -166,106 +159,53 @@
       onNoTarget(usable.isEmpty(), isClosed, now);
       return;
     }
-    target = chosen.get();
+    attempt(chosen.get(), now);
+  }
+
+  private void attempt(TargetDirectory.Known target, long now) {
     log.onTarget(target);
     tried.add(target.target().id());
     sends++;
-    heardAt = now;
-    hasPiece = false;
     target.load().onSent(now);
-    InetSocketAddress address =
-        new InetSocketAddress(target.target().host(), target.target().port());
-    attempt =
+    Attempt attempt = new Attempt(target, now);
+    attempts.add(attempt);
+    attempt.relay =
         AttemptRelay.start(
-            loop, context.dialect(), address, targetRequest(now), new RelayListener());
-    watchSilence();
-  }
-
-  /** Has an attempt looked after that another target may take over when this one is silent. */
-  private void watchSilence() {
-    AttemptRelay watched = attempt;
-    if (routed.route().kind() == RequestKind.IDEMPOTENT && routed.engine().isEmpty()) {
-      silence =
-          loop.schedule(() -> onPageSilence(watched), PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
-    } else if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
-      silence =
-          loop.scheduleWithFixedDelay(
-              () -> onStreamLook(watched),
-              STREAM_LOOK_MILLIS,
-              STREAM_LOOK_MILLIS,
-              TimeUnit.MILLISECONDS);
-    }
+            loop,
+            context.dialect(),
+            new InetSocketAddress(target.target().host(), target.target().port()),
+            copyFor(target, now),
+            attempt);
+    attempt.watchSilence();
   }
 
-  private void onPageSilence(AttemptRelay watched) {
-    if (!watched.isAnswering()) {
-      giveUpSilent(watched, "no answer in time");
-    }
-  }
-
-  private void onStreamLook(AttemptRelay watched) {
+  /** Asks one more target beside those that are silent, where the request may run there too. */
+  private void sendBeside() {
     long now = MonotonicClock.millis();
-    boolean mayWait =
-        routed
-            .engine()
-            .map(profile -> target.load().isQueueing(now, profile.slots()))
-            .orElse(false);
-    OptionalLong movingSince = context.streams().of(routed.service()).movingSince(now);
-    if (SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince)) {
-      giveUpSilent(watched, "silent while the service's other streams move");
+    Optional<TargetDirectory.Known> other = choose(context.targets().usable(routed.service()), now);
+    if (other.isPresent() && mayGoOn(AttemptOutcome.BROKEN, runs + attempts.size(), now)) {
+      attempt(other.get(), now);
     }
   }
 
-  /** Gives a silent target up for another one, where the request may run at one more. */
-  private void giveUpSilent(AttemptRelay watched, String cause) {
-    boolean isCurrent = !isOver && watched.equals(attempt);
-    if (isCurrent && routed.retryRule().allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends)) {
-      onAttemptFailed(AttemptOutcome.BROKEN, cause, Optional.empty());
-    }
+  /** Whether the request may be sent once more; takes that from the budget. */
+  private boolean mayGoOn(AttemptOutcome outcome, int runsSoFar, long now) {
+    return routed.retryRule().allowsAnother(outcome, runsSoFar, sends)
+        && context.budgets().of(routed.service()).tryRetry(now, context.entries().getAsInt());
   }
 
   private Optional<TargetDirectory.Known> choose(List<TargetDirectory.Known> usable, long now) {
-    List<TargetDirectory.Known> shuffled = new ArrayList<>(usable);
-    Collections.shuffle(shuffled, ThreadLocalRandom.current());
-    List<TargetChoice.Candidate> candidates =
-        shuffled.stream()
-            .map(
-                each ->
-                    new TargetChoice.Candidate(
-                        each.target().id(),
-                        each.target().zone().equals(context.targets().ownZone()),
-                        each.load()))
-            .toList();
     double full =
         routed
             .engine()
             .map(profile -> profile.slots() + WAITING_PER_TARGET)
             .orElse(Double.MAX_VALUE);
-    return new TargetChoice(context.entries().getAsInt(), full)
-        .choose(candidates, tried, now)
-        .flatMap(
-            candidate ->
-                usable.stream()
-                    .filter(each -> each.target().id().equals(candidate.id()))
-                    .findFirst());
+    TargetChoice choice = new TargetChoice(context.entries().getAsInt(), full);
+    return TargetDirectory.choose(choice, usable, tried, context.targets().ownZone(), now);
   }
 
-  private FullHttpRequest targetRequest(long now) {
-    FullHttpRequest copy =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            request.method(),
-            request.uri(),
-            Unpooled.copiedBuffer(request.content()));
-    copy.headers().set(request.headers());
-    boolean hasBody =
-        request.content().isReadable()
-            || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-    HopHeaders.removeFrom(copy.headers());
-    if (hasBody) {
-      copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-    }
+  private FullHttpRequest copyFor(TargetDirectory.Known target, long now) {
+    FullHttpRequest copy = HopHeaders.endToEndCopy(request);
     context
         .dialect()
         .address(
@@ -298,8 +238,78 @@
     }
   }
 
-  /** Takes what one attempt brings. */
-  private final class RelayListener implements AttemptRelay.Listener {
+  /** One attempt at one target, and what it brings. */
+  private final class Attempt implements AttemptRelay.Listener {
+    private final TargetDirectory.Known target;
+    private AttemptRelay relay;
+    private ScheduledFuture<?> silence;
+    private long heardAt;
+    private boolean hasPiece;
+    private boolean isSilent;
+
+    Attempt(TargetDirectory.Known target, long sentAt) {
+      this.target = target;
+      this.heardAt = sentAt;
+    }
+
+    /** Has itself looked after, that another target may take over when this one is silent. */
+    void watchSilence() {
+      if (routed.route().kind() == RequestKind.IDEMPOTENT && routed.engine().isEmpty()) {
+        silence = loop.schedule(this::onPageSilence, PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+      } else if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
+        silence =
+            loop.scheduleWithFixedDelay(
+                this::onStreamLook, STREAM_LOOK_MILLIS, STREAM_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void onPageSilence() {
+      if (attempts.contains(this) && !relay.isAnswering()) {
+        isSilent = true;
+        sendBeside();
+      }
+    }
+
+    private void onStreamLook() {
+      long now = MonotonicClock.millis();
+      boolean mayWait =
+          routed
+              .engine()
+              .map(profile -> target.load().isQueueing(now, profile.slots()))
+              .orElse(false);
+      OptionalLong movingSince = context.streams().of(routed.service()).movingSince(now);
+      boolean isLost = SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince);
+      boolean mayMove = routed.retryRule().allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends);
+      if (isLost && mayMove && attempts.contains(this)) {
+        String cause = "silent while the service's other streams move";
+        onFailure(AttemptOutcome.BROKEN, cause, Optional.empty());
+      }
+    }
+
+    /** Ends the attempt, whatever it still brings. */
+    void end(String outcome) {
+      if (silence != null) {
+        silence.cancel(false);
+      }
+      relay.cancel();
+      attempts.remove(this);
+      target.load().onEnded();
+      context.metrics().onAttemptEnded(routed.service(), outcome);
+    }
+
+    private void endOthers() {
+      List.copyOf(attempts).stream()
+          .filter(other -> !other.equals(this))
+          .forEach(Attempt::endOvertaken);
+    }
+
+    private void endOvertaken() {
+      if (isSilent) {
+        target.load().onAnswer(false, MonotonicClock.millis());
+      }
+      end("overtaken");
+    }
+
     @Override
     public OptionalLong lastEventId() {
       return lastEventId;
@@ -307,6 +317,7 @@
 
     @Override
     public void onWhole(int status, HttpHeaders headers, byte[] body) {
+      endOthers();
       pauses.onPiece(MonotonicClock.millis());
       onGoodAnswer();
       answer.whole(status, headers, body);
@@ -315,6 +326,7 @@
 
     @Override
     public void onBegin(int status, HttpHeaders headers) {
+      endOthers();
       if (!answer.isBegun()) {
         answer.begin(status, headers);
       }
@@ -331,7 +343,7 @@
       context.streams().of(routed.service()).onPiece(heardAt);
       answer.part(bytes);
       if (!answer.isWritable()) {
-        attempt.setReading(false);
+        relay.setReading(false);
       }
     }
 
@@ -342,40 +354,44 @@
       done("ok");
     }
 
+    private void onGoodAnswer() {
+      target.load().onAnswer(true, MonotonicClock.millis());
+      context
+          .metrics()
+          .onAnswered(routed.service(), pauses.firstPieceMillis(), pauses.longestPauseMillis());
+      log.answered(routed.route(), pauses, sends);
+      end("ok");
+    }
+
     @Override
     public void onFailure(
         AttemptOutcome outcome, String cause, Optional<AttemptRelay.Failure> failure) {
-      onAttemptFailed(outcome, cause, failure);
+      end(outcome.name().toLowerCase(Locale.ROOT));
+      boolean isCallersFault =
+          failure.map(each -> each.status() >= 400 && each.status() < 500).orElse(false);
+      if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.MISDIRECTED) {
+        target.load().onUnreachable(MonotonicClock.millis());
+      } else {
+        target.load().onAnswer(isCallersFault, MonotonicClock.millis());
+      }
+      onAttemptFailed(outcome, cause, failure, isCallersFault);
     }
   }
 
-  private void onGoodAnswer() {
-    target.load().onAnswer(true, MonotonicClock.millis());
-    context
-        .metrics()
-        .onAnswered(routed.service(), pauses.firstPieceMillis(), pauses.longestPauseMillis());
-    log.answered(routed.route(), pauses, sends);
-    endAttempt("ok");
-  }
-
   private void onAttemptFailed(
-      AttemptOutcome outcome, String cause, Optional<AttemptRelay.Failure> failure) {
-    long now = MonotonicClock.millis();
-    endAttempt(outcome.name().toLowerCase(Locale.ROOT));
-    lastFailure = failure;
-    boolean isCallersFault =
-        failure.map(each -> each.status() >= 400 && each.status() < 500).orElse(false);
-    if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.MISDIRECTED) {
-      target.load().onUnreachable(now);
-    } else {
-      target.load().onAnswer(isCallersFault, now);
-    }
+      AttemptOutcome outcome,
+      String cause,
+      Optional<AttemptRelay.Failure> failure,
+      boolean isCallersFault) {
+    lastFailure = failure.or(() -> lastFailure);
     runs += outcome.mayHaveRun() ? 1 : 0;
+    boolean isOtherUnderWay = !attempts.isEmpty();
     boolean another =
-        !isCallersFault
-            && routed.retryRule().allowsAnother(outcome, runs, sends)
-            && context.budgets().of(routed.service()).tryRetry(now, context.entries().getAsInt());
+        !isOtherUnderWay && !isCallersFault && mayGoOn(outcome, runs, MonotonicClock.millis());
     log.attemptFailed(outcome, cause, another, sends);
+    if (isOtherUnderWay) {
+      return;
+    }
     if (another) {
       send();
     } else if (answer.isBegun()) {
@@ -398,10 +414,10 @@
       endBroken(cause);
       return;
     }
-    boolean mayHaveRun = runs > 0 || attempt != null;
-    if (attempt != null && !attempt.isAnswering()) {
-      target.load().onAnswer(false, MonotonicClock.millis());
-    }
+    boolean mayHaveRun = runs > 0 || !attempts.isEmpty();
+    attempts.stream()
+        .filter(attempt -> !attempt.relay.isAnswering())
+        .forEach(attempt -> attempt.target.load().onAnswer(false, MonotonicClock.millis()));
     if (mayHaveRun) {
       end(ResultCode.DEADLINE_PASSED_RUNNING, 0, cause);
     } else {
@@ -437,22 +453,9 @@
     done(code.name().toLowerCase(Locale.ROOT));
   }
 
-  private void endAttempt(String outcome) {
-    if (silence != null) {
-      silence.cancel(false);
-      silence = null;
-    }
-    if (attempt != null) {
-      attempt.cancel();
-      attempt = null;
-      target.load().onEnded();
-      context.metrics().onAttemptEnded(routed.service(), outcome);
-    }
-  }
-
   private void done(String result) {
     isOver = true;
-    endAttempt("cancelled");
+    List.copyOf(attempts).forEach(attempt -> attempt.end("cancelled"));
     if (timer != null) {
       timer.cancel(false);
     }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -17,6 +17,7 @@
  * @param entries how many entries share the targets, 1 or more
  * @param stop whether and when this process stops
  * @param metrics what is counted
+ * @param startedAt when this process started, on the monotonic clock, milliseconds
  */
 public record RequestContext(
     RequestDialect dialect,
@@ -26,7 +27,8 @@
     StreamWatch streams,
     IntSupplier entries,
     StopPlan stop,
-    RequestMetrics metrics) {
+    RequestMetrics metrics,
+    long startedAt) {
 
   CallerLimits limits() {
     return configuration.get().map(ServingConfiguration::limits).orElse(CallerLimits.DEFAULTS);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -1,16 +1,21 @@
 package dev.ibishub.gateway.front;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
 /**
@@ -151,6 +156,27 @@
     return usableByService.getOrDefault(service, List.of());
   }
 
+  /** Chooses one of the usable targets of a service, as {@link TargetChoice} decides. */
+  static Optional<Known> choose(
+      TargetChoice choice, List<Known> usable, Set<String> tried, String ownZone, long now) {
+    List<Known> shuffled = new ArrayList<>(usable);
+    Collections.shuffle(shuffled, ThreadLocalRandom.current());
+    List<TargetChoice.Candidate> candidates =
+        shuffled.stream()
+            .map(
+                each ->
+                    new TargetChoice.Candidate(
+                        each.target().id(), each.target().zone().equals(ownZone), each.load()))
+            .toList();
+    return choice
+        .choose(candidates, tried, now)
+        .flatMap(
+            candidate ->
+                usable.stream()
+                    .filter(each -> each.target().id().equals(candidate.id()))
+                    .findFirst());
+  }
+
   /** Returns all targets, also those that are leaving, by id. */
   public synchronized List<Known> all() {
     return known.values().stream()
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -74,7 +74,8 @@
                 new StreamWatch(),
                 () -> 1,
                 new NeverStops(),
-                new RequestMetrics(new PrometheusRegistry())));
+                new RequestMetrics(new PrometheusRegistry()),
+                MonotonicClock.millis()));
     try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
       port = free.getLocalPort();
     }
@@ -92,7 +93,7 @@
         0,
         0,
         List.of(new Route.Destination("s", 1)),
-        kind.isStream() ? 2 : 1,
+        kind.isRepeatable() ? 2 : 1,
         false);
   }
 
@@ -318,6 +319,29 @@
     }
   }
 
+  // A page fails although the target that was asked first was about to answer. It had been silent
+  // for a while and was given up for another one, which failed.
+  @Test
+  void silentTargetMayStillAnswerAfterAnotherWasAskedAsWell() throws IOException {
+    try (ServerSocket other = new ServerSocket(0, 10, LOOPBACK);
+        Socket caller = send("GET /any/x HTTP/1.1\r\nHost: h\r\n\r\n");
+        Socket silent = target.accept()) {
+      targets.onAnnounced(
+          new Target("u", "s", LOOPBACK.getHostAddress(), other.getLocalPort(), "z", 2, false, 1),
+          2);
+      other.setSoTimeout(PATIENCE_MILLIS);
+      try (Socket failing = other.accept()) {
+        readHead(failing.getInputStream());
+        String failure = "HTTP/1.1 500 No\r\nsigned: 1\r\nContent-Length: 3\r\n\r\nbad";
+        failing.getOutputStream().write(failure.getBytes(US));
+        assertThat(failing.getInputStream().read()).isEqualTo(-1);
+      }
+      silent.getOutputStream().write(OK.getBytes(US));
+
+      assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   private static Socket acceptOrNull(ServerSocket at) throws IOException {
     try {
       return at.accept();
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -172,7 +172,8 @@
             new StreamWatch(),
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
-            new RequestMetrics(PrometheusRegistry.defaultRegistry)));
+            new RequestMetrics(PrometheusRegistry.defaultRegistry),
+            MonotonicClock.millis()));
   }
 
   /**
