Wait less than a second for a group of ranks that is about to open

Change: a request with 3 s left or more pauses 250 and then 500 ms before a third and fourth send that follow refusals; where all ranks are there and say that they are closed, it is sent when the group opens, waiting for 0.9 s or an eighth of its time at most. A group that lacks a rank is still refused at once. Ruled out: a longer Retry-After for these, as it was their last return. Tests: RetryRuleTest, TargetChoiceTest, FrontTest.groupThatIsAboutToOpenIsWaitedFor and groupThatDoesNotOpenIsNotWaitedForLong.

--- a/core/src/main/java/dev/ibishub/core/serving/RetryRule.java
+++ b/core/src/main/java/dev/ibishub/core/serving/RetryRule.java
@@ -16,6 +16,16 @@
    */
   public static final int EXTRA_SENDS = 2;
 
+  /**
+   * Pause before a third send, longer with each further one. A group of ranks that forms takes some
+   * 0.6 s in which all its ranks refuse; callers come back once at most, so a request that is only
+   * tried at once is lost where it could have been served late. Milliseconds.
+   */
+  static final long REFUSED_PAUSE_MILLIS = 250;
+
+  /** Requests with less time than this are not kept waiting between sends. Milliseconds. */
+  static final long LEAST_LEFT_MILLIS = 3_000;
+
   /** Checks that one run is allowed. */
   public RetryRule {
     if (maximumRuns < 1) {
@@ -35,4 +45,17 @@
     boolean mayRunAgain = runs == 0 || kind.isRepeatable();
     return mayRunAgain && runs < maximumRuns && sends < maximumRuns + EXTRA_SENDS;
   }
+
+  /**
+   * Returns how long to wait before a request is sent again, milliseconds.
+   *
+   * @param outcome how the last attempt ended
+   * @param sends all attempts so far
+   * @param leftMillis time until the request's deadline, milliseconds
+   */
+  public long pauseMillis(AttemptOutcome outcome, int sends, long leftMillis) {
+    boolean isPatient =
+        outcome == AttemptOutcome.REFUSED && sends > 1 && leftMillis >= LEAST_LEFT_MILLIS;
+    return isPatient ? REFUSED_PAUSE_MILLIS * (sends - 1) : 0;
+  }
 }
--- a/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -45,6 +45,16 @@
         && loads.stream().noneMatch(load -> load.isOpen(now));
   }
 
+  /**
+   * Whether a group that is closed is about to open: all its ranks are there and say that they are
+   * closed. It then takes some 0.6 s more; without this or that rank it may take any time.
+   *
+   * @param loads what is believed of all targets of the service
+   */
+  public static boolean areForming(Collection<TargetLoad> loads, long now) {
+    return !loads.isEmpty() && loads.stream().allMatch(load -> load.isClosed(now));
+  }
+
   /**
    * Chooses.
    *
--- a/core/src/test/java/dev/ibishub/core/serving/RetryRuleTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/RetryRuleTest.java
@@ -26,6 +26,19 @@
     assertThat(new RetryRule(RequestKind.ONCE, 1).allowsAnother(outcome, 0, 1)).isTrue();
   }
 
+  // Readers' requests end as refused a moment before the group that would have served them opens.
+  // All its ranks refused; the request was tried at four of them within a few milliseconds.
+  @Test
+  void refusedRequestWithTimeLeftIsSentAgainAfterAPause() {
+    RetryRule rule = new RetryRule(RequestKind.RESUMABLE_STREAM, 2);
+
+    assertThat(rule.pauseMillis(AttemptOutcome.REFUSED, 1, 8_000)).isZero();
+    assertThat(rule.pauseMillis(AttemptOutcome.REFUSED, 2, 8_000)).isEqualTo(250);
+    assertThat(rule.pauseMillis(AttemptOutcome.REFUSED, 3, 7_000)).isEqualTo(500);
+    assertThat(rule.pauseMillis(AttemptOutcome.REFUSED, 2, 1_400)).isZero();
+    assertThat(rule.pauseMillis(AttemptOutcome.BROKEN, 2, 8_000)).isZero();
+  }
+
   @Test
   void requestRunsAtNoMoreTargetsThanItsRouteAllows() {
     RetryRule rule = new RetryRule(RequestKind.IDEMPOTENT, 2);
--- a/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
@@ -120,6 +120,17 @@
     assertThat(TargetChoice.areClosed(loads, 100 + TargetLoad.REPORT_MILLIS + 1)).isFalse();
   }
 
+  @Test
+  void groupWhoseRanksAreAllThereIsAboutToOpen() {
+    List<TargetLoad> loads = candidates(2).stream().map(Candidate::load).toList();
+    loads.get(0).onReport(new TargetReport(0, 1, false, 100));
+    assertThat(TargetChoice.areForming(loads, 150)).isFalse();
+
+    loads.get(1).onReport(new TargetReport(0, 1, false, 100));
+    assertThat(TargetChoice.areForming(loads, 150)).isTrue();
+    assertThat(TargetChoice.areForming(List.of(), 150)).isFalse();
+  }
+
   @Test
   void closedTargetIsNotChosenWhereAnotherGroupIsOpen() {
     List<Candidate> all = candidates(2);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -6,6 +6,7 @@
 import dev.ibishub.core.serving.ReturnAdvice;
 import dev.ibishub.core.serving.SilenceRule;
 import dev.ibishub.core.serving.TargetChoice;
+import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
 import dev.ibishub.runtime.MonotonicClock;
@@ -28,9 +29,9 @@
  * One request of a caller, from its last byte to the end of its answer. Runs on the event loop of
  * the caller's connection; not thread-safe.
  *
- * <p>Nothing waits here: a request is sent to a target at once or refused at once, as a request
- * that waits in one entry is not seen by the others and can't be placed where room comes free
- * first.
+ * <p>Nothing waits here for room: a request is sent to a target at once or refused at once, as a
+ * request that waits in one entry is not seen by the others and can't be placed where room comes
+ * free first. Only a group of ranks that is about to open is waited for, less than a second.
  */
 final class Exchange {
   /** With less time than this left no target could answer; the request ends. Milliseconds. */
@@ -57,6 +58,17 @@
    */
   private static final long PAGE_SILENCE_MILLIS = 260;
 
+  /**
+   * How long a group of ranks that is about to open is waited for, milliseconds; forming takes some
+   * 600. At most this part of the request's time.
+   */
+  private static final long FORMING_MILLIS = 900;
+
+  private static final long FORMING_PART = 8;
+
+  /** Time between two looks at a group that is about to open, milliseconds. */
+  private static final long FORMING_LOOK_MILLIS = 60;
+
   /** Time between two looks at whether a stream has gone silent, milliseconds. */
   private static final long STREAM_LOOK_MILLIS = 150;
 
@@ -78,6 +90,7 @@
   private int sends;
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
   private OptionalLong lastEventId = OptionalLong.empty();
+  private long groupUntil = Long.MAX_VALUE;
   private boolean isOver;
 
   /**
@@ -152,8 +165,12 @@
       return;
     }
     List<TargetDirectory.Known> usable = context.targets().usable(routed.service());
-    boolean isClosed =
-        TargetChoice.areClosed(usable.stream().map(TargetDirectory.Known::load).toList(), now);
+    List<TargetLoad> loads = usable.stream().map(TargetDirectory.Known::load).toList();
+    if (TargetChoice.areForming(loads, now) && mayWaitForGroup(now)) {
+      loop.schedule(this::sendUnlessOver, FORMING_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    boolean isClosed = TargetChoice.areClosed(loads, now);
     Optional<TargetDirectory.Known> chosen = isClosed ? Optional.empty() : choose(usable, now);
     if (chosen.isEmpty()) {
       onNoTarget(usable.isEmpty(), isClosed, now);
@@ -162,6 +179,19 @@
     attempt(chosen.get(), now);
   }
 
+  private void sendUnlessOver() {
+    if (!isOver) {
+      send();
+    }
+  }
+
+  /** Whether a group that is about to open is still waited for; a short while only. */
+  private boolean mayWaitForGroup(long now) {
+    long patience = Math.min(FORMING_MILLIS, (routed.deadline() - arrivedAt) / FORMING_PART);
+    groupUntil = Math.min(groupUntil, now + patience);
+    return now < groupUntil;
+  }
+
   private void attempt(TargetDirectory.Known target, long now) {
     log.onTarget(target);
     tried.add(target.target().id());
@@ -393,7 +423,7 @@
       return;
     }
     if (another) {
-      send();
+      sendAgain(outcome);
     } else if (answer.isBegun()) {
       endBroken(cause);
     } else if (runs > 0) {
@@ -405,6 +435,18 @@
     }
   }
 
+  private void sendAgain(AttemptOutcome outcome) {
+    long left = routed.deadline() - MonotonicClock.millis();
+    long pause = routed.retryRule().pauseMillis(outcome, sends, left);
+    if (pause == 0) {
+      send();
+      return;
+    }
+    // Who refused before may take the request by then.
+    tried.clear();
+    loop.schedule(this::sendUnlessOver, pause, TimeUnit.MILLISECONDS);
+  }
+
   private void onDeadline() {
     if (isOver) {
       return;
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.ServingConfiguration;
@@ -342,6 +343,29 @@
     }
   }
 
+  // A reader is refused although its group opens within the second. All ranks are there and say
+  // that
+  // they are closed, as the group is just forming.
+  @Test
+  void groupThatIsAboutToOpenIsWaitedFor() throws IOException {
+    targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, false, now()));
+    try (Socket caller = send("GET /any/x HTTP/1.1\r\nHost: h\r\n\r\n")) {
+      targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, true, now()));
+      answerAt("/any/x", OK);
+
+      assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
+  @Test
+  void groupThatDoesNotOpenIsNotWaitedForLong() throws IOException {
+    targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, false, now() + 60_000));
+
+    assertThat(answerTo("GET /any/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+        .startsWith("HTTP/1.1 503 ")
+        .containsIgnoringCase("retry-after");
+  }
+
   private static Socket acceptOrNull(ServerSocket at) throws IOException {
     try {
       return at.accept();
