--- a/backends/src/main/java/dev/ibishub/backends/AuditTrail.java
+++ b/administration/src/main/java/dev/ibishub/administration/AuditTrail.java
@@ -1,9 +1,11 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
 import java.time.DateTimeException;
 import java.time.Instant;
 import java.util.ArrayDeque;
--- a/backends/src/main/java/dev/ibishub/backends/ConfigurationFollower.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.Configuration;
@@ -6,6 +6,8 @@
 import dev.ibishub.core.ConfigurationReader;
 import dev.ibishub.core.ConfigurationState;
 import dev.ibishub.core.SnapshotSchedule;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
 import dev.ibishub.settings.ConfigurationDocument;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
--- a/backends/src/main/java/dev/ibishub/backends/ConfigurationPublisher.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationPublisher.java
@@ -1,10 +1,11 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import dev.ibishub.core.ConfigurationChange;
 import dev.ibishub.core.ConfigurationEvent;
 import dev.ibishub.core.ConfigurationState;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
 import dev.ibishub.settings.ConfigurationDocument;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
--- a/backends/src/main/java/dev/ibishub/backends/ConfigurationSnapshots.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationSnapshots.java
@@ -1,6 +1,7 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.outbound.AppendOnlyLog;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
--- a/backends/src/main/java/dev/ibishub/backends/Json.java
+++ b/administration/src/main/java/dev/ibishub/administration/Json.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
--- a/backends/src/main/java/dev/ibishub/backends/OperatorAnswer.java
+++ b/administration/src/main/java/dev/ibishub/administration/OperatorAnswer.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import dev.ibishub.core.ResultCode;
 import java.time.Instant;
--- a/backends/src/main/java/dev/ibishub/backends/ProblemDocument.java
+++ b/administration/src/main/java/dev/ibishub/administration/ProblemDocument.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.ibishub.core.ResultCode;
--- a/backends/src/main/java/dev/ibishub/backends/PublishResult.java
+++ b/administration/src/main/java/dev/ibishub/administration/PublishResult.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 /**
  * A change that is in force.
--- a/backends/src/test/java/dev/ibishub/backends/ConfigurationPublisherTest.java
+++ b/administration/src/test/java/dev/ibishub/administration/ConfigurationPublisherTest.java
@@ -1,9 +1,9 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
-import dev.ibishub.backends.FakeLog.AppendFault;
+import dev.ibishub.administration.FakeLog.AppendFault;
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.ConfigurationEvent;
 import dev.ibishub.core.ResultCode;
--- a/backends/src/test/java/dev/ibishub/backends/FakeLog.java
+++ b/administration/src/test/java/dev/ibishub/administration/FakeLog.java
@@ -1,7 +1,10 @@
-package dev.ibishub.backends;
+package dev.ibishub.administration;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/agent/src/main/java/dev/ibishub/agent/ClaimBucket.java
+++ b/agent/src/main/java/dev/ibishub/agent/ClaimBucket.java
@@ -1,9 +1,6 @@
 package dev.ibishub.agent;
 
 import com.google.common.flogger.FluentLogger;
-import dev.ibishub.backends.AppendOnlyLog;
-import dev.ibishub.backends.LogPage;
-import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ClaimKey;
 import dev.ibishub.core.ClaimLedger;
 import dev.ibishub.core.ClaimRecord;
@@ -12,6 +9,9 @@
 import dev.ibishub.core.ProcessIncarnation;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
--- a/agent/src/main/java/dev/ibishub/agent/ClaimWriter.java
+++ b/agent/src/main/java/dev/ibishub/agent/ClaimWriter.java
@@ -1,10 +1,10 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.AppendOnlyLog;
 import dev.ibishub.core.ClaimKey;
 import dev.ibishub.core.ClaimRequest;
 import dev.ibishub.core.ClaimResult;
 import dev.ibishub.core.ProcessIncarnation;
+import dev.ibishub.outbound.AppendOnlyLog;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/agent/src/main/java/dev/ibishub/agent/FencingTokens.java
+++ b/agent/src/main/java/dev/ibishub/agent/FencingTokens.java
@@ -1,9 +1,9 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.AppendOnlyLog;
-import dev.ibishub.backends.ConfigurationFollower;
+import dev.ibishub.administration.ConfigurationFollower;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
--- a/agent/src/main/java/dev/ibishub/agent/ModelBackend.java
+++ b/agent/src/main/java/dev/ibishub/agent/ModelBackend.java
@@ -1,10 +1,10 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.GenerationEnd;
-import dev.ibishub.backends.ModelEngine;
 import dev.ibishub.core.AnswerEnd;
 import dev.ibishub.core.StreamBuffers;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.GenerationEnd;
+import dev.ibishub.engines.ModelEngine;
 import dev.ibishub.wire.generated.Dispatch;
 import dev.ibishub.wire.generated.ModelCall;
 import java.time.InstantSource;
--- a/agent/src/main/java/dev/ibishub/agent/OrderController.java
+++ b/agent/src/main/java/dev/ibishub/agent/OrderController.java
@@ -1,12 +1,12 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.EngineState;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.WeightReservation;
-import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.OrderGate;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.EngineState;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.outbound.WeightReservation;
+import dev.ibishub.outbound.WeightStore;
 import dev.ibishub.wire.generated.OrderReply;
 import dev.ibishub.wire.generated.OrderRequest;
 import java.time.Duration;
--- a/agent/src/main/java/dev/ibishub/agent/RankController.java
+++ b/agent/src/main/java/dev/ibishub/agent/RankController.java
@@ -1,15 +1,15 @@
 package dev.ibishub.agent;
 
 import com.google.protobuf.ByteString;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.RankOrder;
-import dev.ibishub.backends.RankState;
-import dev.ibishub.backends.WeightReservation;
-import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.GroupCommand.Kind;
 import dev.ibishub.core.RankGate;
 import dev.ibishub.core.RankStatus;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.engines.RankOrder;
+import dev.ibishub.engines.RankState;
+import dev.ibishub.outbound.WeightReservation;
+import dev.ibishub.outbound.WeightStore;
 import dev.ibishub.wire.generated.GroupCommand;
 import dev.ibishub.wire.generated.GroupReply;
 import java.time.Duration;
--- a/agent/src/main/java/dev/ibishub/agent/ServiceBackend.java
+++ b/agent/src/main/java/dev/ibishub/agent/ServiceBackend.java
@@ -1,8 +1,5 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.PlainService;
-import dev.ibishub.backends.ServiceAnswer;
-import dev.ibishub.backends.ServiceRequest;
 import dev.ibishub.core.AnswerEnd;
 import dev.ibishub.core.ClaimRequest;
 import dev.ibishub.core.ClaimResult;
@@ -13,6 +10,9 @@
 import dev.ibishub.core.ResultException;
 import dev.ibishub.core.StreamBuffer;
 import dev.ibishub.core.StreamBuffers;
+import dev.ibishub.engines.PlainService;
+import dev.ibishub.engines.ServiceAnswer;
+import dev.ibishub.engines.ServiceRequest;
 import dev.ibishub.wire.AnswerEnds;
 import dev.ibishub.wire.ClaimHolder;
 import dev.ibishub.wire.generated.ServiceCall;
--- a/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
+++ b/agent/src/main/java/dev/ibishub/agent/TargetReporter.java
@@ -1,9 +1,9 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.CacheEvents;
-import dev.ibishub.backends.EngineLoad;
-import dev.ibishub.backends.EngineState;
-import dev.ibishub.backends.ModelEngine;
+import dev.ibishub.engines.CacheEvents;
+import dev.ibishub.engines.EngineLoad;
+import dev.ibishub.engines.EngineState;
+import dev.ibishub.engines.ModelEngine;
 import dev.ibishub.settings.AgentSettings;
 import dev.ibishub.wire.generated.CacheReport;
 import dev.ibishub.wire.generated.Frame;
--- a/agent/src/main/java/dev/ibishub/agent/WeightGate.java
+++ b/agent/src/main/java/dev/ibishub/agent/WeightGate.java
@@ -1,9 +1,9 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.WeightReservation;
-import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.WeightReservation;
+import dev.ibishub.outbound.WeightStore;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
--- a/agent/src/test/java/dev/ibishub/agent/FakeLog.java
+++ b/agent/src/test/java/dev/ibishub/agent/FakeLog.java
@@ -1,10 +1,10 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.AppendOnlyLog;
-import dev.ibishub.backends.LogPage;
-import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
--- a/agent/src/test/java/dev/ibishub/agent/FakeOrderedEngine.java
+++ b/agent/src/test/java/dev/ibishub/agent/FakeOrderedEngine.java
@@ -1,17 +1,17 @@
 package dev.ibishub.agent;
 
-import dev.ibishub.backends.CacheEvents;
-import dev.ibishub.backends.EngineLoad;
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.EngineState;
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.GenerationEnd;
-import dev.ibishub.backends.GenerationListener;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.RankOrder;
-import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.CacheEvents;
+import dev.ibishub.engines.EngineLoad;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.EngineState;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.GenerationEnd;
+import dev.ibishub.engines.GenerationListener;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.engines.RankOrder;
+import dev.ibishub.engines.RankState;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/agent/src/test/java/dev/ibishub/agent/RankControllerTest.java
+++ b/agent/src/test/java/dev/ibishub/agent/RankControllerTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.WeightReservation;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.WeightReservation;
 import dev.ibishub.wire.generated.GroupCommand;
 import dev.ibishub.wire.generated.GroupCommandKind;
 import dev.ibishub.wire.generated.GroupReply;
--- a/bench/src/main/java/dev/ibishub/bench/claims/LogModel.java
+++ b/bench/src/main/java/dev/ibishub/bench/claims/LogModel.java
@@ -1,11 +1,11 @@
 package dev.ibishub.bench.claims;
 
-import dev.ibishub.backends.AppendOnlyLog;
-import dev.ibishub.backends.LogPage;
-import dev.ibishub.backends.LogRecord;
 import dev.ibishub.bench.model.EventQueue;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/backends/src/main/java/dev/ibishub/backends/GenerationLine.java
+++ b/engines/src/main/java/dev/ibishub/engines/GenerationLine.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 /**
  * One line of a streamed generation: a piece, or the end.
--- a/backends/src/main/java/dev/ibishub/backends/GenerationListener.java
+++ b/engines/src/main/java/dev/ibishub/engines/GenerationListener.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 /** Takes the pieces of an answer as they come. */
 @FunctionalInterface
--- a/backends/src/main/java/dev/ibishub/backends/GenerationReader.java
+++ b/engines/src/main/java/dev/ibishub/engines/GenerationReader.java
@@ -1,7 +1,9 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.OutboundHttp;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.http.HttpResponse.BodyHandler;
 import java.net.http.HttpResponse.BodySubscriber;
@@ -25,7 +27,7 @@
 
   /** Reads a generation from a 200, and a refusal from any other status. */
   static BodyHandler<Supplier<GenerationEnd>> handler(
-      long firstPiece, GenerationListener listener, PlatformHttp.Failures failures) {
+      long firstPiece, GenerationListener listener, OutboundHttp.Failures failures) {
     return response -> {
       if (response.statusCode() == 200) {
         GenerationReader reader = new GenerationReader(firstPiece, listener);
@@ -37,12 +39,12 @@
   }
 
   private static BodySubscriber<Supplier<GenerationEnd>> refusal(
-      int status, PlatformHttp.Failures failures) {
+      int status, OutboundHttp.Failures failures) {
     return BodySubscribers.mapping(
         BodySubscribers.ofByteArray(),
         body ->
             () -> {
-              throw PlatformHttp.refusalOf(status, body, failures);
+              throw OutboundHttp.refusalOf(status, body, failures);
             });
   }
 
@@ -72,7 +74,7 @@
 
   private void accept(String line) {
     try {
-      GenerationLine next = PlatformJson.read(line, GenerationLine.class);
+      GenerationLine next = OutboundJson.read(line, GenerationLine.class);
       if (next.end() != null) {
         end = next.end();
       } else if (next.number() != null && next.number() == nextPiece) {
--- a/backends/src/main/java/dev/ibishub/backends/HttpModelEngine.java
+++ b/engines/src/main/java/dev/ibishub/engines/HttpModelEngine.java
@@ -1,6 +1,8 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.outbound.OutboundHttp;
+import dev.ibishub.outbound.OutboundJson;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,16 +21,16 @@
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
   private static final Duration RESUME_TIMEOUT = Duration.ofSeconds(10);
-  private static final PlatformHttp.Failures GENERATE_FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ENGINE_FAILED);
-  private static final PlatformHttp.Failures READ_FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.TARGET_UNREACHABLE);
-  private static final PlatformHttp.Failures ORDER_FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ORDER_UNDECIDED);
+  private static final OutboundHttp.Failures GENERATE_FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ENGINE_FAILED);
+  private static final OutboundHttp.Failures READ_FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.TARGET_UNREACHABLE);
+  private static final OutboundHttp.Failures ORDER_FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ORDER_UNDECIDED);
 
-  private final PlatformHttp http;
+  private final OutboundHttp http;
 
-  private HttpModelEngine(PlatformHttp http) {
+  private HttpModelEngine(OutboundHttp http) {
     this.http = http;
   }
 
@@ -36,10 +38,10 @@
    * Creates an adapter.
    *
    * @param base where the engine listens, without a slash at the end
-   * @param client from {@link PlatformHttp#newClient}
+   * @param client from {@link OutboundHttp#newClient}
    */
   public static HttpModelEngine create(URI base, HttpClient client) {
-    return new HttpModelEngine(PlatformHttp.create(base, client));
+    return new HttpModelEngine(OutboundHttp.create(base, client));
   }
 
   @Override
@@ -109,7 +111,7 @@
 
   private HttpRequest post(String path, Object body, Instant deadline) {
     return http.request(path, deadline)
-        .POST(BodyPublishers.ofByteArray(PlatformJson.write(body)))
+        .POST(BodyPublishers.ofByteArray(OutboundJson.write(body)))
         .build();
   }
 
@@ -118,6 +120,6 @@
   }
 
   private static String streamPath(String streamId) {
-    return "/v1/streams/" + PlatformHttp.encode(streamId);
+    return "/v1/streams/" + OutboundHttp.encode(streamId);
   }
 }
--- a/backends/src/main/java/dev/ibishub/backends/HttpPlainService.java
+++ b/engines/src/main/java/dev/ibishub/engines/HttpPlainService.java
@@ -1,6 +1,7 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.outbound.OutboundHttp;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpHeaders;
@@ -19,8 +20,8 @@
   /** Names the call in the service's own logs. */
   public static final String REQUEST_ID_HEADER = "Ibishub-Request-Id";
 
-  private static final PlatformHttp.Failures FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.OUTCOME_UNKNOWN);
+  private static final OutboundHttp.Failures FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.OUTCOME_UNKNOWN);
 
   // Headers of one connection only, which no one hands on, and those that the client sets itself.
   private static final Set<String> CONNECTION_HEADERS =
@@ -39,9 +40,9 @@
           "transfer-encoding",
           "upgrade");
 
-  private final PlatformHttp http;
+  private final OutboundHttp http;
 
-  private HttpPlainService(PlatformHttp http) {
+  private HttpPlainService(OutboundHttp http) {
     this.http = http;
   }
 
@@ -49,10 +50,10 @@
    * Creates an adapter.
    *
    * @param base where the service listens, without a slash at the end
-   * @param client from {@link PlatformHttp#newClient}
+   * @param client from {@link OutboundHttp#newClient}
    */
   public static HttpPlainService create(URI base, HttpClient client) {
-    return new HttpPlainService(PlatformHttp.create(base, client));
+    return new HttpPlainService(OutboundHttp.create(base, client));
   }
 
   @Override
--- a/backends/src/main/java/dev/ibishub/backends/ModelEngine.java
+++ b/engines/src/main/java/dev/ibishub/engines/ModelEngine.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/backends/src/main/java/dev/ibishub/backends/PromptPrefix.java
+++ b/engines/src/main/java/dev/ibishub/engines/PromptPrefix.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.List;
--- a/backends/src/main/java/dev/ibishub/backends/RankOrder.java
+++ b/engines/src/main/java/dev/ibishub/engines/RankOrder.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 /**
  * An order about a rank's expert map.
--- a/backends/src/test/java/dev/ibishub/backends/GenerationReaderTest.java
+++ b/engines/src/test/java/dev/ibishub/engines/GenerationReaderTest.java
@@ -1,9 +1,10 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.OutboundHttp;
 import java.net.http.HttpClient;
 import java.net.http.HttpHeaders;
 import java.net.http.HttpResponse.BodySubscriber;
@@ -22,8 +23,8 @@
  * device on the way ended the body in good order, so that HTTP shows nothing wrong.
  */
 class GenerationReaderTest {
-  private static final PlatformHttp.Failures FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ENGINE_FAILED);
+  private static final OutboundHttp.Failures FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.ENGINE_FAILED);
   private static final String FIRST = "{\"number\":0,\"text\":\"a\"}\n";
   private static final String SECOND = "{\"number\":1,\"text\":\"b\"}\n";
 
--- a/backends/src/test/java/dev/ibishub/backends/PlatformHttpTest.java
+++ b/engines/src/test/java/dev/ibishub/engines/HttpPlainServiceTest.java
@@ -1,9 +1,10 @@
-package dev.ibishub.backends;
+package dev.ibishub.engines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.OutboundHttp;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -21,7 +22,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-class PlatformHttpTest {
+class HttpPlainServiceTest {
   private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 
   private final ExecutorService executor = Executors.newCachedThreadPool();
@@ -41,7 +42,7 @@
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       executor.execute(() -> serve(server));
       URI base = URI.create("http://127.0.0.1:" + server.getLocalPort());
-      PlainService service = HttpPlainService.create(base, PlatformHttp.newClient(executor));
+      PlainService service = HttpPlainService.create(base, OutboundHttp.newClient(executor));
       assertThat(codeOf(service)).isEqualTo(ResultCode.OK);
       assertThat(codeOf(service)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
       assertThat(requests).hasValue(2);
--- a/entry/src/main/java/dev/ibishub/entry/AdminPages.java
+++ b/entry/src/main/java/dev/ibishub/entry/AdminPages.java
@@ -1,10 +1,10 @@
 package dev.ibishub.entry;
 
 import com.sun.net.httpserver.HttpExchange;
-import dev.ibishub.backends.OperatorAnswer;
-import dev.ibishub.backends.OperatorApi;
-import dev.ibishub.backends.OperatorCall;
-import dev.ibishub.backends.OperatorTokens;
+import dev.ibishub.administration.OperatorAnswer;
+import dev.ibishub.administration.OperatorApi;
+import dev.ibishub.administration.OperatorCall;
+import dev.ibishub.administration.OperatorTokens;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
 import dev.ibishub.settings.EntrySettings;
--- a/entry/src/main/java/dev/ibishub/entry/Members.java
+++ b/entry/src/main/java/dev/ibishub/entry/Members.java
@@ -1,9 +1,9 @@
 package dev.ibishub.entry;
 
-import dev.ibishub.backends.VirtualMachine;
 import dev.ibishub.core.MemberRecord;
 import dev.ibishub.core.MemberRole;
 import dev.ibishub.core.MemberState;
+import dev.ibishub.outbound.VirtualMachine;
 import dev.ibishub.wire.generated.Member;
 import java.util.Locale;
 
--- a/entry/src/main/java/dev/ibishub/entry/ModelRequests.java
+++ b/entry/src/main/java/dev/ibishub/entry/ModelRequests.java
@@ -2,12 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
-import dev.ibishub.backends.PromptPrefix;
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.Configuration.Workspace;
 import dev.ibishub.core.Repeatability;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.PromptPrefix;
 import dev.ibishub.wire.generated.Dispatch;
 import dev.ibishub.wire.generated.ModelCall;
 import java.io.IOException;
--- a/entry/src/main/java/dev/ibishub/entry/OrderDesk.java
+++ b/entry/src/main/java/dev/ibishub/entry/OrderDesk.java
@@ -1,6 +1,6 @@
 package dev.ibishub.entry;
 
-import dev.ibishub.backends.TargetOrders;
+import dev.ibishub.administration.TargetOrders;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
 import dev.ibishub.wire.Link;
--- a/entry/src/main/java/dev/ibishub/entry/PeerLinks.java
+++ b/entry/src/main/java/dev/ibishub/entry/PeerLinks.java
@@ -1,7 +1,7 @@
 package dev.ibishub.entry;
 
 import com.google.protobuf.ByteString;
-import dev.ibishub.backends.ConfigurationFollower;
+import dev.ibishub.administration.ConfigurationFollower;
 import dev.ibishub.core.Admission;
 import dev.ibishub.core.ConfigurationReader;
 import dev.ibishub.core.MemberRecord;
--- a/entry/src/main/java/dev/ibishub/entry/Problem.java
+++ b/entry/src/main/java/dev/ibishub/entry/Problem.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
-import dev.ibishub.backends.ProblemDocument;
+import dev.ibishub.administration.ProblemDocument;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
 import java.io.IOException;
--- a/entry/src/main/java/dev/ibishub/entry/StatusPage.java
+++ b/entry/src/main/java/dev/ibishub/entry/StatusPage.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.ibishub.backends.ConfigurationFollower;
+import dev.ibishub.administration.ConfigurationFollower;
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.MemberRecord;
 import dev.ibishub.core.MemberRole;
--- a/backends/src/main/java/dev/ibishub/backends/AppendOnlyLog.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/AppendOnlyLog.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
--- a/backends/src/main/java/dev/ibishub/backends/PlatformError.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/ErrorBody.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 /**
  * The JSON body of an answer that refuses a call.
@@ -7,4 +7,4 @@
  * @param detail for people
  * @param retryAfterMillis after how many milliseconds another try makes sense, 0 for unsaid
  */
-public record PlatformError(String error, String detail, long retryAfterMillis) {}
+public record ErrorBody(String error, String detail, long retryAfterMillis) {}
--- a/backends/src/main/java/dev/ibishub/backends/HttpAppendOnlyLog.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/HttpAppendOnlyLog.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import dev.ibishub.core.ResultCode;
 import java.net.URI;
@@ -12,19 +12,19 @@
  * The append-only log by HTTP, as {@code docs/PLATFORM-PROTOCOLS.md} describes it. Thread-safe.
  *
  * <pre>{@code
- * AppendOnlyLog log = HttpAppendOnlyLog.create(base, PlatformHttp.newClient(executor));
+ * AppendOnlyLog log = HttpAppendOnlyLog.create(base, OutboundHttp.newClient(executor));
  * log.append("configuration", bytes).thenAccept(offset -> ...);
  * }</pre>
  */
 public final class HttpAppendOnlyLog implements AppendOnlyLog {
   private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
-  private static final PlatformHttp.Failures APPEND_FAILURES =
-      new PlatformHttp.Failures(ResultCode.LOG_UNAVAILABLE, ResultCode.OUTCOME_UNKNOWN);
-  private static final PlatformHttp.Failures READ_FAILURES =
-      new PlatformHttp.Failures(ResultCode.LOG_UNAVAILABLE, ResultCode.LOG_UNAVAILABLE);
+  private static final OutboundHttp.Failures APPEND_FAILURES =
+      new OutboundHttp.Failures(ResultCode.LOG_UNAVAILABLE, ResultCode.OUTCOME_UNKNOWN);
+  private static final OutboundHttp.Failures READ_FAILURES =
+      new OutboundHttp.Failures(ResultCode.LOG_UNAVAILABLE, ResultCode.LOG_UNAVAILABLE);
 
-  private final PlatformHttp http;
+  private final OutboundHttp http;
 
   /**
    * The answer to an append.
@@ -33,7 +33,7 @@
    */
   public record Appended(long offset) {}
 
-  private HttpAppendOnlyLog(PlatformHttp http) {
+  private HttpAppendOnlyLog(OutboundHttp http) {
     this.http = http;
   }
 
@@ -41,10 +41,10 @@
    * Creates an adapter.
    *
    * @param base where the log service listens, without a slash at the end
-   * @param client from {@link PlatformHttp#newClient}
+   * @param client from {@link OutboundHttp#newClient}
    */
   public static HttpAppendOnlyLog create(URI base, HttpClient client) {
-    return new HttpAppendOnlyLog(PlatformHttp.create(base, client));
+    return new HttpAppendOnlyLog(OutboundHttp.create(base, client));
   }
 
   @Override
@@ -70,6 +70,6 @@
   }
 
   private static String path(String stream) {
-    return "/v1/streams/" + PlatformHttp.encode(stream) + "/records";
+    return "/v1/streams/" + OutboundHttp.encode(stream) + "/records";
   }
 }
--- a/backends/src/main/java/dev/ibishub/backends/HttpVirtualMachineList.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/HttpVirtualMachineList.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import dev.ibishub.core.ResultCode;
 import java.net.URI;
@@ -11,12 +11,12 @@
 /** The platform's VM list by HTTP, as {@code docs/PLATFORM-PROTOCOLS.md} describes it. */
 public final class HttpVirtualMachineList implements VirtualMachineList {
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
-  private static final PlatformHttp.Failures FAILURES =
-      new PlatformHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.TARGET_UNREACHABLE);
+  private static final OutboundHttp.Failures FAILURES =
+      new OutboundHttp.Failures(ResultCode.TARGET_UNREACHABLE, ResultCode.TARGET_UNREACHABLE);
 
-  private final PlatformHttp http;
+  private final OutboundHttp http;
 
-  private HttpVirtualMachineList(PlatformHttp http) {
+  private HttpVirtualMachineList(OutboundHttp http) {
     this.http = http;
   }
 
@@ -24,10 +24,10 @@
    * Creates an adapter.
    *
    * @param base where the list is served, without a slash at the end
-   * @param client from {@link PlatformHttp#newClient}
+   * @param client from {@link OutboundHttp#newClient}
    */
   public static HttpVirtualMachineList create(URI base, HttpClient client) {
-    return new HttpVirtualMachineList(PlatformHttp.create(base, client));
+    return new HttpVirtualMachineList(OutboundHttp.create(base, client));
   }
 
   @Override
--- a/backends/src/main/java/dev/ibishub/backends/HttpWeightStore.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/HttpWeightStore.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import dev.ibishub.core.ResultCode;
 import java.net.URI;
@@ -13,12 +13,12 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
   // A lost answer may have used up the reservation. Asking again later only costs rate, so both
   // cases are told as busy.
-  private static final PlatformHttp.Failures FAILURES =
-      new PlatformHttp.Failures(ResultCode.WEIGHT_STORE_BUSY, ResultCode.WEIGHT_STORE_BUSY);
+  private static final OutboundHttp.Failures FAILURES =
+      new OutboundHttp.Failures(ResultCode.WEIGHT_STORE_BUSY, ResultCode.WEIGHT_STORE_BUSY);
 
-  private final PlatformHttp http;
+  private final OutboundHttp http;
 
-  private HttpWeightStore(PlatformHttp http) {
+  private HttpWeightStore(OutboundHttp http) {
     this.http = http;
   }
 
@@ -26,15 +26,15 @@
    * Creates an adapter.
    *
    * @param base where the store listens, without a slash at the end
-   * @param client from {@link PlatformHttp#newClient}
+   * @param client from {@link OutboundHttp#newClient}
    */
   public static HttpWeightStore create(URI base, HttpClient client) {
-    return new HttpWeightStore(PlatformHttp.create(base, client));
+    return new HttpWeightStore(OutboundHttp.create(base, client));
   }
 
   @Override
   public CompletableFuture<Void> reserve(String weights, long bytes) {
-    byte[] body = PlatformJson.write(new WeightReservation(weights, bytes));
+    byte[] body = OutboundJson.write(new WeightReservation(weights, bytes));
     return http.call(
         http.request("/v1/reservations", Instant.now().plus(TIMEOUT))
             .POST(BodyPublishers.ofByteArray(body))
--- a/backends/src/main/java/dev/ibishub/backends/PlatformHttp.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/OutboundHttp.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
@@ -25,7 +25,7 @@
  * What the HTTP adapters share: the client without hidden retries, and the mapping of failures to
  * result codes. Thread-safe.
  */
-public final class PlatformHttp {
+public final class OutboundHttp {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration SHORTEST_TIMEOUT = Duration.ofMillis(1);
 
@@ -52,15 +52,15 @@
    * @param notReached when the request surely was not written
    * @param unknown when it may have been
    */
-  record Failures(ResultCode notReached, ResultCode unknown) {}
+  public record Failures(ResultCode notReached, ResultCode unknown) {}
 
-  private PlatformHttp(URI base, HttpClient client) {
+  private OutboundHttp(URI base, HttpClient client) {
     this.base = base;
     this.client = client;
   }
 
-  static PlatformHttp create(URI base, HttpClient client) {
-    return new PlatformHttp(base, client);
+  public static OutboundHttp create(URI base, HttpClient client) {
+    return new OutboundHttp(base, client);
   }
 
   /**
@@ -80,19 +80,19 @@
   }
 
   /** Encodes one segment of a path. */
-  static String encode(String segment) {
+  public static String encode(String segment) {
     return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
   }
 
   /** Starts a request for a path under the base, to be answered before the deadline. */
-  HttpRequest.Builder request(String pathAndQuery, Instant deadline) {
+  public HttpRequest.Builder request(String pathAndQuery, Instant deadline) {
     Duration left = Duration.between(Instant.now(), deadline);
     return HttpRequest.newBuilder(URI.create(base + pathAndQuery))
         .timeout(left.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : left);
   }
 
   /** Sends a request once; fails with a {@link ResultException} when no answer came. */
-  <T> CompletableFuture<HttpResponse<T>> send(
+  public <T> CompletableFuture<HttpResponse<T>> send(
       HttpRequest request, BodyHandler<T> handler, Failures failures) {
     return client
         .sendAsync(request, handler)
@@ -101,15 +101,15 @@
   }
 
   /** Sends a request once and reads its answer as JSON, or as nothing for {@code Void}. */
-  <T> CompletableFuture<T> call(HttpRequest request, Class<T> type, Failures failures) {
+  public <T> CompletableFuture<T> call(HttpRequest request, Class<T> type, Failures failures) {
     return send(request, BodyHandlers.ofByteArray(), failures)
         .thenApply(response -> answerOf(response, type, failures));
   }
 
   /** Reads a refusal; one that names no known result code may have done its work. */
-  static ResultException refusalOf(int status, byte[] body, Failures failures) {
+  public static ResultException refusalOf(int status, byte[] body, Failures failures) {
     try {
-      PlatformError error = PlatformJson.read(body, PlatformError.class);
+      ErrorBody error = OutboundJson.read(body, ErrorBody.class);
       Optional<ResultCode> code =
           Arrays.stream(ResultCode.values())
               .filter(known -> known.name().equals(error.error()))
@@ -123,7 +123,7 @@
     return new ResultException(failures.unknown(), "answered with status " + status);
   }
 
-  private static Instant retryAt(PlatformError error) {
+  private static Instant retryAt(ErrorBody error) {
     return error.retryAfterMillis() > 0 ? Instant.now().plusMillis(error.retryAfterMillis()) : null;
   }
 
@@ -135,7 +135,7 @@
       return null;
     }
     try {
-      return PlatformJson.read(response.body(), type);
+      return OutboundJson.read(response.body(), type);
     } catch (IOException e) {
       throw new ResultException(failures.unknown(), "unreadable answer: " + e.getMessage());
     }
--- a/backends/src/main/java/dev/ibishub/backends/PlatformJson.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/OutboundJson.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -19,7 +19,7 @@
  * The JSON of the platform's protocols: records by their component names, instants as milliseconds
  * since the epoch, bytes in base64, unknown keys skipped. Thread-safe.
  */
-public final class PlatformJson {
+public final class OutboundJson {
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -29,7 +29,7 @@
                   .addDeserializer(Instant.class, new InstantReader()))
           .build();
 
-  private PlatformJson() {}
+  private OutboundJson() {}
 
   /** Writes a value as UTF-8 JSON on one line. */
   public static byte[] write(Object value) {
--- a/backends/src/main/java/dev/ibishub/backends/VirtualMachine.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/VirtualMachine.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 /**
  * One VM of the platform's list.
--- a/backends/src/main/java/dev/ibishub/backends/WeightReservation.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/WeightReservation.java
@@ -1,4 +1,4 @@
-package dev.ibishub.backends;
+package dev.ibishub.outbound;
 
 /**
  * What an engine means to read from the weight store.
--- a/standins/src/main/java/dev/ibishub/standins/AddressBook.java
+++ b/standins/src/main/java/dev/ibishub/standins/AddressBook.java
@@ -1,6 +1,6 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -80,7 +80,7 @@
       if (response.statusCode() != 200) {
         return false;
       }
-      List<Address> answered = PlatformJson.read(response.body(), Answer.class).addresses();
+      List<Address> answered = OutboundJson.read(response.body(), Answer.class).addresses();
       if (answered.isEmpty()) {
         return false;
       }
--- a/standins/src/main/java/dev/ibishub/standins/Caller.java
+++ b/standins/src/main/java/dev/ibishub/standins/Caller.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
@@ -223,7 +223,7 @@
         request.method(),
         request
             .body()
-            .map(json -> BodyPublishers.ofByteArray(PlatformJson.write(json)))
+            .map(json -> BodyPublishers.ofByteArray(OutboundJson.write(json)))
             .orElse(BodyPublishers.noBody()));
     request.body().ifPresent(unused -> builder.header("Content-Type", "application/json"));
     request.idempotencyKey().ifPresent(key -> builder.header("Idempotency-Key", key));
@@ -252,7 +252,7 @@
 
   private static Optional<JsonNode> jsonOf(byte[] body) {
     try {
-      return Optional.of(PlatformJson.readTree(body));
+      return Optional.of(OutboundJson.readTree(body));
     } catch (IOException e) {
       return Optional.empty();
     }
--- a/standins/src/main/java/dev/ibishub/standins/DirectSession.java
+++ b/standins/src/main/java/dev/ibishub/standins/DirectSession.java
@@ -1,11 +1,11 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.Outcome;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.outbound.OutboundJson;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,7 +52,7 @@
         "",
         "",
         request.path().contains("chat"),
-        PlatformJson.write(request.body().orElseThrow()),
+        OutboundJson.write(request.body().orElseThrow()),
         0,
         0,
         Instant.now().plusSeconds(options.patienceSeconds()));
--- a/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineGroup.java
@@ -1,13 +1,13 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.CacheEvents;
-import dev.ibishub.backends.EngineLoad;
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.EngineState;
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.RankOrder;
-import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ExpertMap;
+import dev.ibishub.engines.CacheEvents;
+import dev.ibishub.engines.EngineLoad;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.EngineState;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.RankOrder;
+import dev.ibishub.engines.RankState;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/standins/src/main/java/dev/ibishub/standins/EngineRank.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineRank.java
@@ -1,14 +1,14 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.backends.CacheEvents;
-import dev.ibishub.backends.EngineLoad;
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.EngineState;
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.CacheEvents;
+import dev.ibishub.engines.EngineLoad;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.EngineState;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -217,7 +217,7 @@
 
   private static JsonNode bodyOf(GenerationCall call) {
     try {
-      return PlatformJson.readTree(call.body());
+      return OutboundJson.readTree(call.body());
     } catch (IOException e) {
       throw new ResultException(ResultCode.MALFORMED_REQUEST, "body is no JSON");
     }
--- a/standins/src/main/java/dev/ibishub/standins/EngineStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/EngineStandIn.java
@@ -1,11 +1,11 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.GenerationLine;
-import dev.ibishub.backends.PlatformJson;
-import dev.ibishub.backends.RankOrder;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.GenerationLine;
+import dev.ibishub.engines.RankOrder;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Optional;
@@ -111,7 +111,7 @@
   }
 
   private static void writeLine(OutputStream out, GenerationLine line) throws IOException {
-    byte[] json = PlatformJson.write(line);
+    byte[] json = OutboundJson.write(line);
     byte[] bytes = new byte[json.length + 1];
     System.arraycopy(json, 0, bytes, 0, json.length);
     bytes[json.length] = '\n';
--- a/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
+++ b/standins/src/main/java/dev/ibishub/standins/ExecutionAudit.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -63,13 +63,13 @@
 
   private void readService(URI service) throws IOException, InterruptedException {
     ServiceStandIn.Audit audit =
-        PlatformJson.read(get(service, "/control/executions"), ServiceStandIn.Audit.class);
+        OutboundJson.read(get(service, "/control/executions"), ServiceStandIn.Audit.class);
     audit.executions().forEach(execution -> executedRequests.add(execution.requestId()));
     audit.byKey().forEach((key, count) -> executionsByKey.merge(key, count, Integer::sum));
   }
 
   private void readEngine(URI engine) throws IOException, InterruptedException {
-    JsonNode audit = PlatformJson.readTree(get(engine, "/control/streams"));
+    JsonNode audit = OutboundJson.readTree(get(engine, "/control/streams"));
     audit.path("started").forEach(id -> startedStreams.add(id.asText()));
   }
 
--- a/standins/src/main/java/dev/ibishub/standins/GeneratedStream.java
+++ b/standins/src/main/java/dev/ibishub/standins/GeneratedStream.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.GenerationEnd;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.GenerationEnd;
 import java.util.List;
 import java.util.Optional;
 
--- a/standins/src/main/java/dev/ibishub/standins/LoadMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadMain.java
@@ -1,9 +1,9 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.HttpModelEngine;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.PlatformHttp;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.engines.HttpModelEngine;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.outbound.OutboundHttp;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.http.HttpClient;
 import java.nio.file.Files;
@@ -53,7 +53,7 @@
     LoadReport report = run(options);
     System.out.print(report.text());
     if (options.reportFile().isPresent()) {
-      Files.write(options.reportFile().get(), PlatformJson.write(report));
+      Files.write(options.reportFile().get(), OutboundJson.write(report));
     }
     System.exit(exitCode(report));
   }
@@ -62,7 +62,7 @@
   static LoadReport run(LoadOptions options) throws IOException, InterruptedException {
     ExecutorService executor = Executors.newCachedThreadPool();
     try {
-      HttpClient client = PlatformHttp.newClient(executor);
+      HttpClient client = OutboundHttp.newClient(executor);
       long startNanos = System.nanoTime() + WARM_UP_NANOS;
       LoadRecorder recorder = new LoadRecorder(startNanos);
       send(options, client, executor, startNanos, recorder);
--- a/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
+++ b/standins/src/main/java/dev/ibishub/standins/LoadPlan.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.time.Instant;
@@ -76,7 +76,7 @@
     List<FiledRequest> filed = new ArrayList<>();
     if (options.requestFile().isPresent()) {
       for (String line : Files.readAllLines(options.requestFile().get())) {
-        filed.add(PlatformJson.read(line, FiledRequest.class));
+        filed.add(OutboundJson.read(line, FiledRequest.class));
       }
     }
     return new LoadPlan(options, List.copyOf(filed));
--- a/standins/src/main/java/dev/ibishub/standins/LogStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/LogStandIn.java
@@ -1,10 +1,10 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.HttpAppendOnlyLog;
-import dev.ibishub.backends.LogPage;
-import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.HttpAppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/standins/src/main/java/dev/ibishub/standins/OverheadMain.java
+++ b/standins/src/main/java/dev/ibishub/standins/OverheadMain.java
@@ -1,6 +1,6 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -75,6 +75,6 @@
 
   private static void write(Path file, Overhead overhead) throws IOException {
     Files.createDirectories(file.toAbsolutePath().getParent());
-    Files.write(file, PlatformJson.write(overhead));
+    Files.write(file, OutboundJson.write(overhead));
   }
 }
--- a/standins/src/main/java/dev/ibishub/standins/PrefixCache.java
+++ b/standins/src/main/java/dev/ibishub/standins/PrefixCache.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.CacheEvents;
-import dev.ibishub.backends.PromptPrefix;
+import dev.ibishub.engines.CacheEvents;
+import dev.ibishub.engines.PromptPrefix;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Collections;
--- a/standins/src/main/java/dev/ibishub/standins/RankMap.java
+++ b/standins/src/main/java/dev/ibishub/standins/RankMap.java
@@ -1,8 +1,8 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.RankOrder;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.RankOrder;
 
 /**
  * The expert map of one rank: what is staged, held and committed. It does what it is told, as a
--- a/standins/src/main/java/dev/ibishub/standins/ServiceStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/ServiceStandIn.java
@@ -1,6 +1,6 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.HttpPlainService;
+import dev.ibishub.engines.HttpPlainService;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
--- a/standins/src/main/java/dev/ibishub/standins/StandInReply.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInReply.java
@@ -1,8 +1,8 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.PlatformError;
-import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.outbound.ErrorBody;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.HashMap;
@@ -20,7 +20,7 @@
   }
 
   static StandInReply json(Object value) {
-    return new StandInReply(200, Map.of(), PlatformJson.write(value), Optional.empty());
+    return new StandInReply(200, Map.of(), OutboundJson.write(value), Optional.empty());
   }
 
   static StandInReply empty() {
@@ -46,7 +46,7 @@
     return new StandInReply(
         code.httpStatus(),
         Map.of(),
-        PlatformJson.write(new PlatformError(code.name(), detail, retryAfterMillis)),
+        OutboundJson.write(new ErrorBody(code.name(), detail, retryAfterMillis)),
         Optional.empty());
   }
 }
--- a/standins/src/main/java/dev/ibishub/standins/StandInRequest.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInRequest.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.sun.net.httpserver.Headers;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.URI;
 import java.net.URLDecoder;
@@ -29,7 +29,7 @@
   }
 
   <T> T json(Class<T> type) throws IOException {
-    return PlatformJson.read(body, type);
+    return OutboundJson.read(body, type);
   }
 
   private Optional<String> parameter(String name) {
--- a/standins/src/main/java/dev/ibishub/standins/StreamReader.java
+++ b/standins/src/main/java/dev/ibishub/standins/StreamReader.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.backends.PlatformJson;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -82,7 +82,7 @@
   private void dispatch() {
     if (!data.isEmpty() && !data.equals("[DONE]")) {
       try {
-        take(PlatformJson.readTree(data.getBytes(StandardCharsets.UTF_8)));
+        take(OutboundJson.readTree(data.getBytes(StandardCharsets.UTF_8)));
       } catch (IOException e) {
         answer.breach("unreadable event: " + e.getMessage());
       }
--- a/standins/src/main/java/dev/ibishub/standins/VirtualMachineListStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/VirtualMachineListStandIn.java
@@ -1,7 +1,7 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.VirtualMachine;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.outbound.VirtualMachine;
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayDeque;
--- a/standins/src/main/java/dev/ibishub/standins/WeightStoreStandIn.java
+++ b/standins/src/main/java/dev/ibishub/standins/WeightStoreStandIn.java
@@ -1,8 +1,8 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.WeightReservation;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.WeightReservation;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
--- a/standins/src/test/java/dev/ibishub/standins/AppendOnlyLogTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/AppendOnlyLogTest.java
@@ -4,12 +4,12 @@
 import static dev.ibishub.standins.StandInFixture.failureOf;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.AppendOnlyLog;
-import dev.ibishub.backends.HttpAppendOnlyLog;
-import dev.ibishub.backends.LogPage;
-import dev.ibishub.backends.LogRecord;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.outbound.HttpAppendOnlyLog;
+import dev.ibishub.outbound.LogPage;
+import dev.ibishub.outbound.LogRecord;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.List;
--- a/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/CallerSessionTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dev.ibishub.backends.PlatformHttp;
-import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.outbound.OutboundHttp;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.URI;
@@ -119,7 +119,7 @@
         StandInServer.start("127.0.0.1", 0, new FaultSwitch(), withoutAddresses(entry))) {
       URI base = URI.create("http://127.0.0.1:" + server.address().getPort());
       LoadOptions options = options(base);
-      HttpClient client = PlatformHttp.newClient(executor);
+      HttpClient client = OutboundHttp.newClient(executor);
       PlannedRequest request = LoadPlan.create(options).next().orElseThrow();
       CallerSession session =
           new CallerSession(
@@ -162,7 +162,7 @@
   }
 
   private static List<String> answer(StandInRequest request) throws IOException {
-    JsonNode body = PlatformJson.readTree(request.body());
+    JsonNode body = OutboundJson.readTree(request.body());
     return ExpectedAnswer.tokens(body.path("model").asText(), body);
   }
 
@@ -197,7 +197,7 @@
   private static void writeChunks(OutputStream out, List<String> tokens, int from, int to)
       throws IOException {
     for (int number = from; number < to; number++) {
-      String text = new String(PlatformJson.write(tokens.get(number)), StandardCharsets.UTF_8);
+      String text = new String(OutboundJson.write(tokens.get(number)), StandardCharsets.UTF_8);
       write(out, "id: " + number + "\ndata: {\"choices\":[{\"text\":" + text + "}]}\n\n");
     }
   }
--- a/standins/src/test/java/dev/ibishub/standins/EngineGroupTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/EngineGroupTest.java
@@ -3,11 +3,11 @@
 import static dev.ibishub.standins.StandInFixture.codeOf;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.HttpModelEngine;
-import dev.ibishub.backends.ModelEngine;
-import dev.ibishub.backends.RankOrder;
-import dev.ibishub.backends.RankState;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.engines.HttpModelEngine;
+import dev.ibishub.engines.ModelEngine;
+import dev.ibishub.engines.RankOrder;
+import dev.ibishub.engines.RankState;
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
--- a/standins/src/test/java/dev/ibishub/standins/EngineRankTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/EngineRankTest.java
@@ -3,7 +3,7 @@
 import static dev.ibishub.standins.StandInFixture.call;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.CacheEvents;
+import dev.ibishub.engines.CacheEvents;
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/standins/src/test/java/dev/ibishub/standins/ExecutionAuditTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/ExecutionAuditTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.HttpModelEngine;
-import dev.ibishub.backends.HttpPlainService;
-import dev.ibishub.backends.ServiceRequest;
+import dev.ibishub.engines.HttpModelEngine;
+import dev.ibishub.engines.HttpPlainService;
+import dev.ibishub.engines.ServiceRequest;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
--- a/standins/src/test/java/dev/ibishub/standins/ModelEngineTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/ModelEngineTest.java
@@ -5,12 +5,12 @@
 import static dev.ibishub.standins.StandInFixture.expected;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.EngineOrder;
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.GenerationEnd;
-import dev.ibishub.backends.HttpModelEngine;
-import dev.ibishub.backends.ModelEngine;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.engines.EngineOrder;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.engines.GenerationEnd;
+import dev.ibishub.engines.HttpModelEngine;
+import dev.ibishub.engines.ModelEngine;
 import org.junit.jupiter.api.Test;
 
 class ModelEngineTest {
--- a/standins/src/test/java/dev/ibishub/standins/SmallStandInsTest.java
+++ b/standins/src/test/java/dev/ibishub/standins/SmallStandInsTest.java
@@ -4,17 +4,17 @@
 import static dev.ibishub.standins.StandInFixture.failureOf;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.backends.HttpPlainService;
-import dev.ibishub.backends.HttpVirtualMachineList;
-import dev.ibishub.backends.HttpWeightStore;
-import dev.ibishub.backends.PlainService;
-import dev.ibishub.backends.PlatformJson;
-import dev.ibishub.backends.ServiceAnswer;
-import dev.ibishub.backends.ServiceRequest;
-import dev.ibishub.backends.VirtualMachine;
-import dev.ibishub.backends.WeightStore;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.HttpPlainService;
+import dev.ibishub.engines.PlainService;
+import dev.ibishub.engines.ServiceAnswer;
+import dev.ibishub.engines.ServiceRequest;
+import dev.ibishub.outbound.HttpVirtualMachineList;
+import dev.ibishub.outbound.HttpWeightStore;
+import dev.ibishub.outbound.OutboundJson;
+import dev.ibishub.outbound.VirtualMachine;
+import dev.ibishub.outbound.WeightStore;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.List;
@@ -29,7 +29,7 @@
   void aServiceEchoesAndRecordsTheCall() throws Exception {
     try (StandInFixture fixture = StandInFixture.start("service")) {
       ServiceAnswer answer = service(fixture).call(request("POST")).join();
-      ServiceStandIn.Echo echo = PlatformJson.read(answer.body(), ServiceStandIn.Echo.class);
+      ServiceStandIn.Echo echo = OutboundJson.read(answer.body(), ServiceStandIn.Echo.class);
       assertThat(answer.status()).isEqualTo(200);
       assertThat(echo).isEqualTo(new ServiceStandIn.Echo("POST", "/incentives?a=1", "five", 1));
       ServiceStandIn.Audit audit = fixture.audit("/control/executions", ServiceStandIn.Audit.class);
@@ -89,7 +89,7 @@
   }
 
   private static List<VirtualMachine> readAfterChange(StandInFixture fixture) throws Exception {
-    fixture.control("PUT", "/control/virtual-machines", PlatformJson.write(MACHINES));
+    fixture.control("PUT", "/control/virtual-machines", OutboundJson.write(MACHINES));
     return HttpVirtualMachineList.create(fixture.base(), fixture.client()).read().join();
   }
 
--- a/standins/src/test/java/dev/ibishub/standins/StandInFixture.java
+++ b/standins/src/test/java/dev/ibishub/standins/StandInFixture.java
@@ -1,10 +1,10 @@
 package dev.ibishub.standins;
 
-import dev.ibishub.backends.GenerationCall;
-import dev.ibishub.backends.PlatformHttp;
-import dev.ibishub.backends.PlatformJson;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.engines.GenerationCall;
+import dev.ibishub.outbound.OutboundHttp;
+import dev.ibishub.outbound.OutboundJson;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -23,7 +23,7 @@
 final class StandInFixture implements AutoCloseable {
   private final RunningStandIn running;
   private final ExecutorService executor = Executors.newCachedThreadPool();
-  private final HttpClient client = PlatformHttp.newClient(executor);
+  private final HttpClient client = OutboundHttp.newClient(executor);
 
   private StandInFixture(RunningStandIn running) {
     this.running = running;
@@ -54,7 +54,7 @@
   }
 
   void inject(Faults faults) throws Exception {
-    control("PUT", "/control/faults", PlatformJson.write(faults));
+    control("PUT", "/control/faults", OutboundJson.write(faults));
   }
 
   byte[] control(String method, String path, byte[] body) throws Exception {
@@ -66,7 +66,7 @@
   }
 
   <T> T audit(String path, Class<T> type) throws Exception {
-    return PlatformJson.read(control("GET", path, new byte[0]), type);
+    return OutboundJson.read(control("GET", path, new byte[0]), type);
   }
 
   /** The result code with which a call fails; OK when it does not. */
@@ -98,7 +98,7 @@
   }
 
   static String expected(GenerationCall call) throws IOException {
-    return ExpectedAnswer.text(call.model(), PlatformJson.readTree(call.body()));
+    return ExpectedAnswer.text(call.model(), OutboundJson.readTree(call.body()));
   }
 
   @Override
