--- a/cli/src/main/java/dev/ibishub/cli/CommandLine.java
+++ b/cli/src/main/java/dev/ibishub/cli/CommandLine.java
@@ -15,7 +15,11 @@
 /** Finds the subcommand, reads its options and runs it. */
 final class CommandLine {
   static final List<Command> COMMANDS =
-      Stream.of(ConfigurationCommands.all(), FleetCommands.all(), CallerCommands.all())
+      Stream.of(
+              ConfigurationCommands.all(),
+              FleetCommands.all(),
+              CallerCommands.all(),
+              LogCommands.all())
           .flatMap(List::stream)
           .toList();
 
--- a/cli/src/main/java/dev/ibishub/cli/Invocation.java
+++ b/cli/src/main/java/dev/ibishub/cli/Invocation.java
@@ -108,6 +108,11 @@
     out.println(isJson() || json.isMissingNode() ? text : TableOutput.of(json));
   }
 
+  /** Prints something that has a form for people besides its JSON. */
+  void printText(JsonNode json, String text) {
+    out.println(isJson() ? json.toString() : text);
+  }
+
   private boolean isJson() {
     return "json".equals(options.valueOf("output"));
   }
--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -5,6 +5,7 @@
 import dev.ibishub.platform.standins.Deployment;
 import dev.ibishub.platform.standins.RankGroup;
 import dev.ibishub.platform.standins.TargetStandIn;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
@@ -17,6 +18,9 @@
 
 /** Real entries and agents against stand-ins of the platform, on loopback. */
 final class NodeEndToEndTest {
+  /** A line has some 250 bytes, a pipe 64 KB, and 2,048 lines wait in the process. */
+  private static final int LINES_BEYOND_PIPE_AND_QUEUE = 3_000;
+
   private Deployment deployment;
   private TargetStandIn first;
   private TargetStandIn second;
@@ -233,6 +237,22 @@
     assertThat(group.breaches()).isEmpty();
   }
 
+  // All requests stop although callers, targets and the store are well. Whatever reads the log of
+  // an
+  // entry stood still, its pipe was full, and the next line that was written waited for it.
+  @Test
+  void logThatNobodyReadsDelaysNoRequest() throws IOException, InterruptedException {
+    deployment.startEntryWithUnreadLog("entry-3", "127.0.1.3", "127.0.1.1");
+    deployment.await("entry-3 serves", () -> page("entry-3").statusCode() == 200);
+    for (int i = 0; i < LINES_BEYOND_PIPE_AND_QUEUE; i++) {
+      assertThat(deployment.call("entry-3", "GET", "/none/", "key-1").statusCode()).isEqualTo(404);
+    }
+    assertThat(page("entry-3").statusCode()).isEqualTo(200);
+
+    BufferedReader log = deployment.process("entry-3").inputReader();
+    assertThat(log.lines().anyMatch(line -> line.contains("log.dropped"))).isTrue();
+  }
+
   @Test
   void wrongSettingsAreRefusedAndTheOldOnesStay() throws IOException, InterruptedException {
     deployment.changeSettings(
--- a/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
@@ -1,6 +1,7 @@
 package dev.ibishub.platform.standins;
 
 import java.io.IOException;
+import java.lang.ProcessBuilder.Redirect;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -110,6 +111,11 @@
 
   /** Publishes a configuration with a page route, a stream route, and the keys of one workspace. */
   public void publish(int version, String pageService, String... keys) {
+    publishRoutes(version, pageService, pageService, keys);
+  }
+
+  /** Publishes the same with streams at a service of their own. */
+  public void publishRoutes(int version, String pageService, String streamService, String... keys) {
     String quoted = keys.length == 0 ? "" : "\"" + String.join("\",\"", keys) + "\"";
     store.put(
         "keyed.op",
@@ -126,7 +132,7 @@
          {"name":"groups","engine":%s}],
          "tenants":[{"name":"w1","api_keys":[%s]}]}
         """
-            .formatted(version, pageService, pageService, pageService, engine(), quoted));
+            .formatted(version, pageService, pageService, streamService, engine(), quoted));
   }
 
   /** Starts a target that announces itself. */
@@ -176,6 +182,11 @@
    * @param more keys and values in JSON, each after a comma
    */
   public void startEntry(String name, String host, String seed, String more) throws IOException {
+    start(name, entrySettings(name, host, seed, more));
+  }
+
+  private String entrySettings(String name, String host, String seed, String more)
+      throws IOException {
     Map<String, String> keys = new LinkedHashMap<>();
     for (String key : List.of("callerAddress", "readinessAddress", "directoryAddress")) {
       keys.put(key, host + ":" + freePort(host));
@@ -187,8 +198,12 @@
     settings.append(
         ",\"seeds\":[\"%s:1\"],\"sharedRetryAllowance\":40,\"addressValiditySeconds\":2.0"
             .formatted(seed));
-    settings.append(more).append('}');
-    start(name, settings.toString());
+    return settings.append(more).append('}').toString();
+  }
+
+  /** Starts an entry whose log goes to a pipe that nobody reads, but for the test. */
+  public void startEntryWithUnreadLog(String name, String host, String seed) throws IOException {
+    start(name, entrySettings(name, host, seed, ""), Redirect.PIPE);
   }
 
   /** Starts an agent beside a target. */
@@ -203,15 +218,15 @@
   }
 
   private void start(String name, String settings) throws IOException {
+    start(name, settings, Redirect.to(folder.resolve(name + ".log").toFile()));
+  }
+
+  private void start(String name, String settings, Redirect output) throws IOException {
     Path file = Files.writeString(folder.resolve(name + ".json"), settings);
     List<String> command = new ArrayList<>(programs.command().apply(name));
     command.addAll(List.of("--settings", file.toString()));
     processes.put(
-        name,
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(folder.resolve(name + ".log").toFile())
-            .start());
+        name, new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start());
   }
 
   /** Sends one request to an entry; an empty key is none. */
--- /dev/null
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/PlatformDemo.java
@@ -0,0 +1,115 @@
+package dev.ibishub.platform.standins;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Shows the path on the users' platform: three entries, two page targets, a group of four ranks
+ * with an agent beside each, requests all the time; meanwhile demand shifts, the configuration
+ * changes, a rank leaves orders unanswered, an agent is killed, an entry is stopped and another one
+ * killed. Exit status 0 says that each request was answered in full, or may run once and was lost
+ * with an entry that was killed, that none ran more often than it may, and that no step of the
+ * group began with two maps.
+ */
+public final class PlatformDemo {
+  private static final int CALLERS = 6;
+  private static final long STAGE_MILLIS = 2_500;
+  private static final int RANKS = 4;
+
+  private PlatformDemo() {}
+
+  /**
+   * Runs the demo.
+   *
+   * @param arguments class path and main class of the program
+   */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    Deployment.Programs programs =
+        new Deployment.Programs(
+            name ->
+                List.of("java", "-Xmx64m", "-XX:+UseSerialGC", "-cp", arguments[0], arguments[1]));
+    try (Deployment deployment = new Deployment(programs)) {
+      System.exit(play(deployment) ? 0 : 1);
+    }
+  }
+
+  private static boolean play(Deployment deployment) throws IOException, InterruptedException {
+    List<TargetStandIn> pages =
+        List.of(
+            deployment.target("i-1", "127.0.0.1", "pages"),
+            deployment.target("i-2", "127.0.0.1", "pages"),
+            deployment.target("i-3", "127.0.0.1", "other"));
+    RankGroup group = deployment.group("groups", new RankGroup.Options(RANKS, 2, 8, 4, 2, 3));
+    deployment.publishRoutes(3, "pages", "groups", "key-1");
+    for (int entry = 1; entry <= 3; entry++) {
+      deployment.startEntry("entry-" + entry, "127.0.1." + entry, "127.0.1.1");
+    }
+    for (int rank = 0; rank < RANKS; rank++) {
+      deployment.startAgent("agent-" + rank, deployment.rank(rank));
+    }
+    deployment.await(
+        "three entries named",
+        () -> deployment.resolve("entry-1").split("127\\.0\\.1\\.", -1).length > 3);
+    List<DemoCaller> callers =
+        IntStream.range(0, CALLERS).mapToObj(i -> new DemoCaller(deployment)).toList();
+    callers.forEach(DemoCaller::start);
+    disturb(deployment, group);
+    callers.forEach(DemoCaller::finish);
+    deployment.await("no step held", () -> !group.isHeld());
+    return report(callers, pages, group);
+  }
+
+  private static void disturb(Deployment deployment, RankGroup group)
+      throws IOException, InterruptedException {
+    say("experts 0 and 4 are wanted, both at rank 0");
+    group.setPopularity(new double[][] {{9, 1, 1, 1, 9, 1, 1, 1}, {1, 1, 1, 1, 1, 1, 1, 1}});
+    Thread.sleep(STAGE_MILLIS);
+    say("new configuration: pages go to another service, key-2 is added");
+    deployment.publishRoutes(5, "other", "groups", "key-1", "key-2");
+    deployment.loseOrders(1, 3);
+    say("demand shifts; rank 1 leaves its next three orders unanswered");
+    group.setPopularity(new double[][] {{1, 1, 1, 1, 1, 1, 1, 1}, {1, 9, 1, 1, 1, 9, 1, 1}});
+    Thread.sleep(STAGE_MILLIS);
+    say("agent-2 is killed; entry-3 is stopped as planned");
+    deployment.process("agent-2").destroyForcibly();
+    deployment.process("entry-3").destroy();
+    Thread.sleep(STAGE_MILLIS);
+    say("entry-2 is killed");
+    deployment.process("entry-2").destroyForcibly();
+    Thread.sleep(STAGE_MILLIS);
+  }
+
+  private static boolean report(
+      List<DemoCaller> callers, List<TargetStandIn> pages, RankGroup group) {
+    Map<String, Long> results =
+        callers.stream()
+            .flatMap(caller -> caller.results().stream())
+            .collect(Collectors.groupingBy(result -> result, Collectors.counting()));
+    List<String> onceRuns = new ArrayList<>();
+    pages.forEach(
+        target ->
+            target.ran().stream().filter(run -> run.startsWith("once-")).forEach(onceRuns::add));
+    boolean ranTwice =
+        onceRuns.stream().map(run -> run.split(" ", 2)[0]).distinct().count() < onceRuns.size();
+    say("requests by result: " + results);
+    say("switches of ranks: " + group.switches() + ", breaches: " + group.breaches());
+    say("a request that may run once ran twice: " + ranTwice);
+    boolean isGood =
+        Set.of(DemoCaller.WHOLE, DemoCaller.UNKNOWN).containsAll(results.keySet())
+            && results.containsKey(DemoCaller.WHOLE)
+            && group.switches() > 0
+            && group.breaches().isEmpty()
+            && !ranTwice;
+    say(isGood ? "every request was answered in full, or lost with its killed entry" : "FAILED");
+    return isGood;
+  }
+
+  private static void say(String text) {
+    System.out.println("demo: " + text);
+  }
+}
