Keep a silent stream where no other target or retry is left for it

Cause: found by reading Exchange through: a stream that was silent while others moved was given up before it was known whether another target was free and the shared budget had a retry left; without either it was broken off, though its target might have gone on. Change: the other target is chosen and the retry taken first; else the stream stays. Test: FrontTest.silentStreamStaysWhereNoOtherTargetIsFree. It passes now; it was not run against the code before.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -309,13 +309,29 @@
               .orElse(false);
       OptionalLong movingSince = context.streams().of(routed.service()).movingSince(now);
       boolean isLost = SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince);
-      boolean mayMove = routed.retryRule().allowsAnother(AttemptOutcome.BROKEN, runs + 1, sends);
-      if (isLost && mayMove && attempts.contains(this)) {
-        String cause = "silent while the service's other streams move";
-        onFailure(AttemptOutcome.BROKEN, cause, Optional.empty());
+      if (isLost && attempts.contains(this)) {
+        moveElsewhere(now);
       }
     }
 
+    /**
+     * Gives the target up for another one. Without another one, or a retry left in the budget, the
+     * stream stays where it is: silence alone is no reason to end it, it may yet go on.
+     */
+    private void moveElsewhere(long now) {
+      Optional<TargetDirectory.Known> other =
+          choose(context.targets().usable(routed.service()), now);
+      if (other.isEmpty() || !mayGoOn(AttemptOutcome.BROKEN, runs + 1, now)) {
+        return;
+      }
+      end("silent");
+      target.load().onAnswer(false, now);
+      runs++;
+      log.attemptFailed(
+          AttemptOutcome.BROKEN, "silent while the service's other streams move", true, sends);
+      attempt(other.get(), now);
+    }
+
     /** Ends the attempt, whatever it still brings. */
     void end(String outcome) {
       if (silence != null) {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -40,6 +40,12 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  /** Longer than a stream may be silent while others move. */
+  private static final long SILENCE_MILLIS = 1_500;
+
+  private static final int PIECE_MILLIS = 100;
+
   private final TargetDirectory targets = new TargetDirectory("z");
   private ServerSocket target;
   private Optional<ServingConfiguration> configuration;
@@ -366,6 +372,49 @@
         .containsIgnoringCase("retry-after");
   }
 
+  // A reader's text ends in the middle although its target would have gone on a second later. The
+  // stream was given up as silent, and there was no other target to go on at.
+  @Test
+  void silentStreamStaysWhereNoOtherTargetIsFree() throws IOException {
+    String request = "POST /stream/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    try (Socket caller = send(request);
+        Socket silent = acceptStream(target);
+        Socket neighbour = send(request);
+        Socket moving = acceptStream(target)) {
+      event(silent, 1);
+      long silentUntil = now() + SILENCE_MILLIS;
+      for (int id = 1; now() < silentUntil; id++) {
+        event(moving, id);
+        neighbour.getInputStream().skip(neighbour.getInputStream().available());
+        acceptOrNull(target, PIECE_MILLIS);
+      }
+      event(silent, 2);
+
+      assertThat(readUntil(caller.getInputStream(), "id: 2\n")).isTrue();
+    }
+  }
+
+  private static boolean readUntil(InputStream input, String end) throws IOException {
+    StringBuilder read = new StringBuilder();
+    for (int next = input.read(); next >= 0; next = input.read()) {
+      read.append((char) next);
+      if (read.indexOf(end) >= 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Socket acceptOrNull(ServerSocket at, int millis) throws IOException {
+    int before = at.getSoTimeout();
+    at.setSoTimeout(millis);
+    try {
+      return acceptOrNull(at);
+    } finally {
+      at.setSoTimeout(before);
+    }
+  }
+
   private static Socket acceptOrNull(ServerSocket at) throws IOException {
     try {
       return at.accept();
