Start the processes of end-to-end tests with SIGHUP's default

Cause: hangUpSignalEndsNoProcess failed in one whole run. That run was started with nohup, so SIGHUP was ignored in all processes below it, and a JVM that starts so installs no handler. Shown by starting one entry both ways: no settings.read with nohup, one without. Ruled out: a process that ended or stood still; its heartbeats went on. The test itself is unchanged.

--- a/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
+++ b/platform-standins/src/main/java/dev/ibishub/platform/standins/Deployment.java
@@ -55,11 +55,17 @@
    * @param command the command up to the arguments of the program, by the name of the process
    */
   public record Programs(Function<String, List<String>> command) {
-    /** Runs the program on the class path of this process. */
+    /**
+     * Runs the program on the class path of this process, taking SIGHUP: where tests run under
+     * {@code nohup} it would be ignored in all their processes, and a JVM that starts so never sees
+     * one.
+     */
     public static Programs onThisClassPath(String mainClass) {
       return new Programs(
           name ->
               List.of(
+                  "env",
+                  "--default-signal=HUP",
                   Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                   "-Xmx64m",
                   "-XX:+UseSerialGC",
