--- a/cli/src/main/java/dev/ibishub/cli/RequestStory.java
+++ b/cli/src/main/java/dev/ibishub/cli/RequestStory.java
@@ -24,6 +24,10 @@
   private static final Set<String> TARGET_BELIEFS =
       Set.of("target.announced", "target.gone", "target.lapsed");
 
+  /** Fields that stand before the others in a line for people, or that all its lines share. */
+  private static final Set<String> NAMED_APART =
+      Set.of("time", "level", "process", "event", "request", "belief");
+
   private final List<LogLine> ofRequest;
   private final List<LogLine> beliefs;
 
@@ -95,10 +99,7 @@
   private static String line(ObjectNode fields) {
     String rest =
         fields.properties().stream()
-            .filter(
-                field ->
-                    !Set.of("time", "level", "process", "event", "request", "belief")
-                        .contains(field.getKey()))
+            .filter(field -> !NAMED_APART.contains(field.getKey()))
             .map(field -> field.getKey() + "=" + field.getValue().asText())
             .collect(Collectors.joining(" "));
     return (fields.path("belief").asBoolean() ? "    believed  " : "")
--- a/cli/src/test/java/dev/ibishub/cli/ExplainTest.java
+++ b/cli/src/test/java/dev/ibishub/cli/ExplainTest.java
@@ -35,8 +35,7 @@
   }
 
   // A caller complains about one answer. It was tried through two entries; the second one's clock
-  // and
-  // log file are its own, and what it knew by then was older than what the first one knew.
+  // and log file are its own, and what it knew by then was older than what the first one knew.
   @Test
   void linesOfARequestStandInOrderWithWhatWasBelieved() throws IOException {
     String first =
--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 
 /**
  * This entry's part of a retry budget that all entries share: in any window, retries stay below a
@@ -19,38 +20,17 @@
    */
   private static final double USED_PART = 0.75;
 
-  private double retriesPerRequest;
-  private double sharedAllowance;
-  private long windowMillis;
+  private final Supplier<RetryLimits> limits;
   private final Deque<Long> requests = new ArrayDeque<>();
   private final Deque<Long> retries = new ArrayDeque<>();
 
   /**
    * Creates a budget.
    *
-   * @param retriesPerRequest retries that each request earns, 0 to 1
-   * @param sharedAllowance retries in a window that all entries together have besides
-   * @param windowMillis length of the sliding window, milliseconds
+   * @param limits the limits in force; they may change, and what was counted stays counted
    */
-  public SharedRetryBudget(double retriesPerRequest, double sharedAllowance, long windowMillis) {
-    if (retriesPerRequest < 0 || sharedAllowance < 0 || windowMillis < 1) {
-      throw new IllegalArgumentException(
-          "need retriesPerRequest >= 0, sharedAllowance >= 0 and windowMillis >= 1, was %s, %s, %d"
-              .formatted(retriesPerRequest, sharedAllowance, windowMillis));
-    }
-    change(retriesPerRequest, sharedAllowance, windowMillis);
-  }
-
-  /**
-   * Changes the limits; what was counted stays counted.
-   *
-   * @see #SharedRetryBudget
-   */
-  public synchronized void change(
-      double newRetriesPerRequest, double newSharedAllowance, long newWindowMillis) {
-    retriesPerRequest = newRetriesPerRequest;
-    sharedAllowance = newSharedAllowance;
-    windowMillis = newWindowMillis;
+  public SharedRetryBudget(Supplier<RetryLimits> limits) {
+    this.limits = limits;
   }
 
   /** Counts a request's first attempt. */
@@ -76,7 +56,9 @@
   }
 
   private double allowed(int entries) {
-    return retriesPerRequest * requests.size() + USED_PART * sharedAllowance / Math.max(1, entries);
+    RetryLimits inForce = limits.get();
+    return inForce.retriesPerRequest() * requests.size()
+        + USED_PART * inForce.sharedAllowance() / Math.max(1, entries);
   }
 
   private void forget(long now) {
@@ -85,7 +67,7 @@
   }
 
   private void forget(Deque<Long> times, long now) {
-    while (!times.isEmpty() && times.peekFirst() <= now - windowMillis) {
+    while (!times.isEmpty() && times.peekFirst() <= now - limits.get().windowMillis()) {
       times.removeFirst();
     }
   }
--- a/core/src/test/java/dev/ibishub/core/GroupSwitchRandomizedTest.java
+++ b/core/src/test/java/dev/ibishub/core/GroupSwitchRandomizedTest.java
@@ -21,8 +21,7 @@
 
   // Leaders are killed, replaced and paused, agents restart, one rank's engine or whole VM starts
   // anew, and messages come late, twice, out of order or never, while the ranks step on. Users
-  // would
-  // see answers that are noise (a step with two maps) or a group that stops for good.
+  // would see answers that are noise (a step with two maps) or a group that stops for good.
   @Property(seed = "20261202", tries = 1500, shrinking = ShrinkingMode.OFF)
   void noHistoryMixesMapsOrStopsTheGroup(@ForAll long scenario) {
     History history = new History(scenario);
--- a/core/src/test/java/dev/ibishub/core/GroupSwitchTest.java
+++ b/core/src/test/java/dev/ibishub/core/GroupSwitchTest.java
@@ -116,8 +116,7 @@
   }
 
   // A leader has all holds and is paused; a rank's agent restarts and remembers no promise; the
-  // next
-  // leader releases. The late commit would find a rank that refuses nothing.
+  // next leader releases. The late commit would find a rank that refuses nothing.
   @Test
   void rankThatLostItsMemoryObeysNoCommandOfTheOldIncarnation() {
     GroupLeader first = holdingLeader();
--- a/core/src/test/java/dev/ibishub/core/ranks/ExpertDemandTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/ExpertDemandTest.java
@@ -18,8 +18,7 @@
   }
 
   // The planner moves experts for a demand that there never was. A rank started again and its
-  // counts
-  // began at zero; the difference to the old ones was taken for tokens.
+  // counts began at zero; the difference to the old ones was taken for tokens.
   @Test
   void restartOfARankIsNoDemand() {
     demand.onCounts(0, 1, new long[] {500, 500}, 0);
--- a/core/src/test/java/dev/ibishub/core/serving/ReturnAdviceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/ReturnAdviceTest.java
@@ -13,8 +13,7 @@
   }
 
   // Every caller is refused for good although engines are back three seconds later. A group of
-  // ranks
-  // was broken, callers were told to come back within half a second, and they come back once.
+  // ranks was broken, callers were told to come back within half a second, and they come back once.
   @Test
   void callersOfAClosedGroupReturnAsLateAsTheyWouldWait() {
     assertThat(ReturnAdvice.whileClosed(8_000, 0)).isBetween(1_500L, 1_700L);
@@ -22,10 +21,8 @@
   }
 
   // Eight in ten callers are refused for good two seconds after all entries were killed. The store
-  // was
-  // away for another half second; entries that knew no configuration told callers to return at
-  // once,
-  // and they return once.
+  // was away for another half second; entries that knew no configuration told callers to return at
+  // once, and they return once.
   @Test
   void callersOfAProcessThatWaitsForTheStoreReturnAsLateAsTheyWouldWait() {
     assertThat(ReturnAdvice.whileStarting(1_500, OptionalLong.of(8_000), 0.5))
--- a/core/src/test/java/dev/ibishub/core/serving/SharedRetryBudgetTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/SharedRetryBudgetTest.java
@@ -11,6 +11,11 @@
 final class SharedRetryBudgetTest {
   private static final long WINDOW = 10_000;
 
+  private static SharedRetryBudget budget(double retriesPerRequest, double sharedAllowance) {
+    RetryLimits limits = new RetryLimits(retriesPerRequest, sharedAllowance, WINDOW);
+    return new SharedRetryBudget(() -> limits);
+  }
+
   // A service that fails is buried under retries. Each entry kept within a budget of its own, but
   // seven of them together sent seven times as many. Cause: an allowance that was not divided.
   @Test
@@ -18,7 +23,7 @@
     int entries = 7;
     Random random = new Random(3);
     List<SharedRetryBudget> budgets =
-        IntStream.range(0, entries).mapToObj(i -> new SharedRetryBudget(0.2, 90, WINDOW)).toList();
+        IntStream.range(0, entries).mapToObj(i -> budget(0.2, 90)).toList();
     List<Long> requests = new ArrayList<>();
     List<Long> retries = new ArrayList<>();
     for (long now = 0; now < 60_000; now += 10) {
@@ -42,7 +47,7 @@
 
   @Test
   void usedRetriesComeBackAfterTheWindow() {
-    SharedRetryBudget budget = new SharedRetryBudget(0, 4, WINDOW);
+    SharedRetryBudget budget = budget(0, 4);
     IntStream.range(0, 3).forEach(i -> assertThat(budget.tryRetry(0, 1)).isTrue());
 
     assertThat(budget.tryRetry(1, 1)).isFalse();
--- a/core/src/test/java/dev/ibishub/core/serving/SilenceRuleTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/SilenceRuleTest.java
@@ -39,8 +39,8 @@
   }
 
   // All streams of a group start over at other targets at once, twice the work for the same
-  // answers.
-  // The group stood still for 1.5 s since one rank ended, and each stream looked lost by itself.
+  // answers. The group stood still for 1.5 s since one rank ended, and each stream looked lost by
+  // itself.
   @Test
   void streamsOfAGroupThatStandsStillAreNotLost() {
     piecesEach80Millis(0, 1_000);
--- a/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
@@ -21,9 +21,8 @@
   }
 
   // Words come in bursts for one caller and smoothly for the next. Several entries saw the same
-  // idle
-  // rank in reports that were some milliseconds old and all sent to it; as ranks step together, the
-  // crowded one made every stream of the group wait.
+  // idle rank in reports that were some milliseconds old and all sent to it; as ranks step
+  // together, the crowded one made every stream of the group wait.
   @Test
   void entriesThatSeeTheSameReportsStillSpreadABurstEvenly() {
     int entries = 7;
@@ -75,8 +74,7 @@
   }
 
   // A page fails again and again although two other targets are sound. One target answers its
-  // health
-  // checks and resets nearly half of its requests; it looks idle for that, and idle ones are
+  // health checks and resets nearly half of its requests; it looks idle for that, and idle ones are
   // chosen.
   @Test
   void targetThatFailsWithoutSayingSoGetsFewRequestsAndIsTriedAgainLater() {
@@ -142,8 +140,7 @@
   }
 
   // All streams pause for longer since one rank is slow, and it gets as many requests as the
-  // others.
-  // Its own part of each pass is what all wait for, and each request there makes it longer.
+  // others. Its own part of each pass is what all wait for, and each request there makes it longer.
   @Test
   void slowRankGetsRequestsOnlyWhenTheOthersAreNearlyFull() {
     List<Candidate> all = candidates(2);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
@@ -1,5 +1,6 @@
 package dev.ibishub.gateway.front;
 
+import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedRetryBudget;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -7,41 +8,20 @@
 /** The retry budget of each service. Thread-safe. */
 public final class RetryBudgets {
   private final Map<String, SharedRetryBudget> byService = new ConcurrentHashMap<>();
-  private volatile Limits limits;
-
-  /**
-   * How much may be retried.
-   *
-   * @param retriesPerRequest retries that each request earns, 0 to 1
-   * @param sharedAllowance retries in a window that all entries together have besides
-   * @param windowMillis length of the sliding window, milliseconds
-   */
-  public record Limits(double retriesPerRequest, double sharedAllowance, long windowMillis) {}
+  private volatile RetryLimits limits;
 
   /** Creates budgets that are not used yet. */
-  public RetryBudgets(Limits limits) {
+  public RetryBudgets(RetryLimits limits) {
     this.limits = limits;
   }
 
   /** Changes the limits of all budgets; what was counted stays counted. */
-  public void change(Limits newLimits) {
+  public void change(RetryLimits newLimits) {
     limits = newLimits;
-    byService
-        .values()
-        .forEach(
-            budget ->
-                budget.change(
-                    newLimits.retriesPerRequest(),
-                    newLimits.sharedAllowance(),
-                    newLimits.windowMillis()));
   }
 
   /** Returns the budget of a service. */
   public SharedRetryBudget of(String service) {
-    return byService.computeIfAbsent(
-        service,
-        any ->
-            new SharedRetryBudget(
-                limits.retriesPerRequest(), limits.sharedAllowance(), limits.windowMillis()));
+    return byService.computeIfAbsent(service, any -> new SharedRetryBudget(() -> limits));
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -57,8 +57,8 @@
    * @param offset where its newest entry stands among all entries
    */
   public record Known(Target target, TargetLoad load, long usedUntil, long offset) {
-    private boolean sharesAddressWith(Known other) {
-      return target.host().equals(other.target.host()) && target.port() == other.target.port();
+    private String address() {
+      return target.host() + ":" + target.port();
     }
 
     /** Returns the later of two lives at one address. */
@@ -105,12 +105,13 @@
           LogEvent.of("target.announced")
               .with("target", target.id())
               .with("service", target.service())
-              .with("address", target.host() + ":" + target.port())
+              .with("address", announced.address())
               .with("leaving", target.leaving())
               .with("started_ms", target.startedAtMillis()));
     }
     boolean isShared =
-        known.values().stream().filter(each -> each.sharesAddressWith(announced)).count() > 1;
+        known.values().stream().filter(each -> each.address().equals(announced.address())).count()
+            > 1;
     if (before == null || !before.target().equals(target) || isShared) {
       publish();
     }
@@ -197,11 +198,7 @@
   private void publish() {
     Collection<Known> living =
         known.values().stream()
-            .collect(
-                Collectors.toMap(
-                    each -> each.target().host() + ":" + each.target().port(),
-                    each -> each,
-                    Known::later))
+            .collect(Collectors.toMap(Known::address, each -> each, Known::later))
             .values();
     Map<String, List<Known>> byService = new HashMap<>();
     living.stream()
--- a/gateway/src/test/java/dev/ibishub/gateway/front/EventSplitterTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EventSplitterTest.java
@@ -28,8 +28,7 @@
   }
 
   // A caller sees a word cut in two and its rest twice. The target stopped in the middle of an
-  // event
-  // and another went on after the last whole one; the half had been passed on already.
+  // event and another went on after the last whole one; the half had been passed on already.
   @Test
   void halfOfAnEventIsHeldBack() {
     EventSplitter splitter = new EventSplitter();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
@@ -77,7 +78,7 @@
                 new PlainDialect(),
                 () -> configuration,
                 targets,
-                new RetryBudgets(new RetryBudgets.Limits(1, 10, 10_000)),
+                new RetryBudgets(new RetryLimits(1, 10, 10_000)),
                 new StreamWatch(),
                 () -> 1,
                 new NeverStops(),
@@ -297,8 +298,8 @@
   }
 
   // A reader's text stops in the middle of a sentence, and two seconds later the reader is gone.
-  // The
-  // connection to the target went silent without being closed, while all other streams moved on.
+  // The connection to the target went silent without being closed, while all other streams moved
+  // on.
   @Test
   void streamThatAloneGoesSilentGoesOnAtAnotherTarget() throws IOException {
     String request = "POST /stream/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
@@ -350,8 +351,7 @@
   }
 
   // A reader is refused although its group opens within the second. All ranks are there and say
-  // that
-  // they are closed, as the group is just forming.
+  // that they are closed, as the group is just forming.
   @Test
   void groupThatIsAboutToOpenIsWaitedFor() throws IOException {
     targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, false, now()));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -53,8 +53,7 @@
   }
 
   // A target that came back sound gets no requests. It started again under its old id, and was
-  // judged
-  // by the failures of its earlier life.
+  // judged by the failures of its earlier life.
   @Test
   void laterStartUnderTheSameIdBeginsAnew() {
     directory.onAnnounced(target(false, 1), 7);
@@ -69,9 +68,8 @@
   }
 
   // Half of all requests are refused in the first seconds after a loss of power. Targets had
-  // started
-  // anew under other ids; the entries of their earlier lives had not lapsed yet, and whoever read
-  // both sent to both.
+  // started anew under other ids; the entries of their earlier lives had not lapsed yet, and
+  // whoever read both sent to both.
   @Test
   void targetWhoseAddressHasANewerEntryGetsNothing() {
     directory.onAnnounced(at("new", 80, 0), 8);
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
@@ -155,8 +156,8 @@
         this::onProgress);
   }
 
-  private static RetryBudgets.Limits retryLimits(NodeSettings settings) {
-    return new RetryBudgets.Limits(
+  private static RetryLimits retryLimits(NodeSettings settings) {
+    return new RetryLimits(
         settings.retriesPerRequest(),
         settings.sharedRetryAllowance(),
         TimeUnit.SECONDS.toMillis(settings.retryWindowSeconds()));
--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -205,8 +205,7 @@
   }
 
   // An operator halves the time for which callers keep addresses, and nothing changes until the
-  // next
-  // start: settings were read again and checked, but no one used them.
+  // next start: settings were read again and checked, but no one used them.
   @Test
   void changedSettingsAreInForceWithoutARestart() throws IOException, InterruptedException {
     deployment.changeSettings(
@@ -238,8 +237,7 @@
   }
 
   // All requests stop although callers, targets and the store are well. Whatever reads the log of
-  // an
-  // entry stood still, its pipe was full, and the next line that was written waited for it.
+  // an entry stood still, its pipe was full, and the next line that was written waited for it.
   @Test
   void logThatNobodyReadsDelaysNoRequest() throws IOException, InterruptedException {
     deployment.startEntryWithUnreadLog("entry-3", "127.0.1.3", "127.0.1.1");
