--- a/core/src/main/java/dev/ibishub/core/serving/ReturnAdvice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/ReturnAdvice.java
@@ -10,13 +10,21 @@
  */
 public final class ReturnAdvice {
   /**
-   * Least and most time where all places are taken, milliseconds. With some hundred streams of two
-   * seconds each a place comes free every 20, so a short while is enough.
+   * Least and most time where all places are taken and nothing is known of how long they are,
+   * milliseconds.
    */
   private static final long FULL_MILLIS = 250;
 
   private static final long FULL_SPREAD_MILLIS = 500;
 
+  /**
+   * Times that a slot of every target has to come free before callers return: once for the requests
+   * that wait there already, and spread over two more for themselves.
+   */
+  private static final double SLOT_ROUNDS = 1;
+
+  private static final double SLOT_ROUNDS_SPREAD = 2;
+
   /** Callers wait for at most this part of the time that they have left. */
   private static final double HONOURED_PART = 1.0 / 3;
 
@@ -48,6 +56,17 @@
     return FULL_MILLIS + (long) (point * FULL_SPREAD_MILLIS);
   }
 
+  /**
+   * Advises a caller where all places of model engines are taken.
+   *
+   * @param slotFreesMillis how long it takes until one of a full engine's slots comes free
+   * @param point a number from 0 to below 1, drawn evenly
+   * @return milliseconds
+   */
+  public static long whenFull(double slotFreesMillis, double point) {
+    return (long) (slotFreesMillis * (SLOT_ROUNDS + SLOT_ROUNDS_SPREAD * point));
+  }
+
   /**
    * Advises a caller of a process that can't judge requests yet.
    *
--- a/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -52,7 +52,8 @@
    * @param loads what is believed of all targets of the service
    */
   public static boolean areForming(Collection<TargetLoad> loads, long now) {
-    return !loads.isEmpty() && loads.stream().allMatch(load -> load.isClosed(now));
+    return !loads.isEmpty()
+        && loads.stream().allMatch(load -> load.hasReport(now) && load.isClosed(now));
   }
 
   /**
--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * What this entry believes of one target: how much work it has and how it has answered lately.
@@ -53,6 +54,7 @@
   private final Deque<Long> sentSinceReport = new ArrayDeque<>();
   private int ownInFlight;
   private TargetReport report = TargetReport.ofRequests(0, Long.MIN_VALUE / 2);
+  private Optional<GroupOpenness> group = Optional.empty();
   private double failureShare;
   private long answeredAt;
   private long suspendedUntil = Long.MIN_VALUE;
@@ -70,11 +72,15 @@
   }
 
   /**
-   * Takes a report of the target in.
+   * Takes a report of the target in. One that comes late, by another way than a newer one, is left
+   * out.
    *
    * @param newest what it said last
    */
   public synchronized void onReport(TargetReport newest) {
+    if (newest.measuredAt() < report.measuredAt()) {
+      return;
+    }
     report = newest;
     while (!sentSinceReport.isEmpty()
         && sentSinceReport.peekFirst() + ARRIVAL_MILLIS < newest.measuredAt()) {
@@ -109,14 +115,26 @@
     return now - report.measuredAt() <= REPORT_MILLIS;
   }
 
-  /** Whether the target said lately that it takes no requests at present. */
+  /** Notes to which group the target belongs; the group's openness is the target's from then on. */
+  public synchronized void onGroup(GroupOpenness openness) {
+    group = Optional.of(openness);
+  }
+
+  /** Whether the target, or its group, said lately that it takes no requests at present. */
   public synchronized boolean isClosed(long now) {
-    return hasReport(now) && !report.isOpen();
+    return saysOpen(now).map(open -> !open).orElse(false);
   }
 
-  /** Whether the target said lately that it does take requests. */
+  /** Whether the target, or its group, said lately that it does take requests. */
   public synchronized boolean isOpen(long now) {
-    return hasReport(now) && report.isOpen();
+    return saysOpen(now).orElse(false);
+  }
+
+  private Optional<Boolean> saysOpen(long now) {
+    return group
+        .filter(known -> known.isKnown(now))
+        .map(GroupOpenness::isOpen)
+        .or(() -> hasReport(now) ? Optional.of(report.isOpen()) : Optional.empty());
   }
 
   /** Whether it has, by its own recent word, more requests than it runs at once. */
--- a/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/TargetChoiceTest.java
@@ -48,6 +48,49 @@
     assertThat(IntStream.of(running).min().orElseThrow()).isGreaterThanOrEqualTo(4);
   }
 
+  // Streams wait 2 s for a first piece and are given up, with free places at other ranks. A group
+  // opened after a loss of power; its ranks said so within 100 ms of each other, and all that had
+  // waited went to the first that did. Before, 60 requests put 20 at one of 12 ranks; now at most
+  // 8.
+  @Test
+  void requestsThatWaitedForAGroupSpreadOverAllItsRanks() {
+    int ranks = 12;
+    Random random = new Random(3);
+    int[] running = new int[ranks];
+    GroupOpenness group = new GroupOpenness();
+    List<Candidate> candidates = candidates(ranks);
+    candidates.forEach(each -> each.load().onGroup(group));
+    candidates.forEach(each -> each.load().onReport(new TargetReport(0, 1, false, 90)));
+    group.onWord(1, false, 90);
+    for (int request = 0; request < 60; request++) {
+      int told = request / 20;
+      candidates.get(told).load().onReport(new TargetReport(running[told], 1, true, 100 + request));
+      group.onWord(2, true, 100 + request);
+      List<Candidate> shuffled = new ArrayList<>(candidates);
+      Collections.shuffle(shuffled, random);
+      Candidate chosen =
+          new TargetChoice(1, 20).choose(shuffled, Set.of(), 100 + request).orElseThrow();
+      chosen.load().onSent(100 + request);
+      running[Integer.parseInt(chosen.id().substring(1))]++;
+    }
+
+    assertThat(IntStream.of(running).max().orElseThrow()).as("seed 3").isLessThanOrEqualTo(8);
+  }
+
+  @Test
+  void groupThatOneRankCallsBrokenIsClosedAtAll() {
+    GroupOpenness group = new GroupOpenness();
+    List<Candidate> candidates = candidates(3);
+    candidates.forEach(each -> each.load().onGroup(group));
+    candidates.forEach(each -> each.load().onReport(TargetReport.ofRequests(0, 100)));
+    group.onWord(4, true, 100);
+    group.onWord(4, false, 130);
+    group.onWord(3, true, 140);
+
+    List<TargetLoad> loads = candidates.stream().map(Candidate::load).toList();
+    assertThat(TargetChoice.areClosed(loads, 150)).isTrue();
+  }
+
   private static void report(List<List<Candidate>> views, int[] running, long now) {
     views.forEach(
         view ->
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.model.EngineProfile;
+import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.Service;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
@@ -22,6 +23,9 @@
 public final class ExpertController implements RankLinks.RankListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Longest pause of streams where no route states one, milliseconds. */
+  private static final long UNSAID_PAUSE_MILLIS = 150;
+
   private final TargetDirectory targets;
   private final Supplier<Optional<ServingConfiguration>> configuration;
   private final Map<String, GroupLead> groups = new HashMap<>();
@@ -29,23 +33,27 @@
   private final RankOrders orders;
   private final FencingTokens tokens;
   private final InstantSource clock;
+  private final DemandNotes notes;
   private boolean isLeading;
 
   /**
    * Creates a controller that leads nothing yet.
    *
    * @param orders gives orders to engines
-   * @param clock the time of day, for fencing tokens and versions
+   * @param clock the time of day, for fencing tokens, versions and notes
+   * @param notes what was in demand
    */
   public ExpertController(
       TargetDirectory targets,
       Supplier<Optional<ServingConfiguration>> configuration,
       RankOrders orders,
-      InstantSource clock) {
+      InstantSource clock,
+      DemandNotes notes) {
     this.targets = targets;
     this.configuration = configuration;
     this.orders = orders;
     this.clock = clock;
+    this.notes = notes;
     this.tokens = new FencingTokens(clock, ThreadLocalRandom.current().nextLong());
   }
 
@@ -58,13 +66,20 @@
     if (leads != isLeading) {
       isLeading = leads;
       groups.clear();
+      notes.onLeading();
       logger.atInfo().log("%s", LogEvent.of(leads ? "lead.taken" : "lead.given_up"));
     }
     if (leads) {
+      notes.tick(now);
       List.copyOf(groups.values()).forEach(group -> group.tick(now));
     }
   }
 
+  /** Whether the counts of the rank at a host are needed. */
+  public synchronized boolean wantsPicks(String host) {
+    return groups.values().stream().allMatch(group -> group.wantsPicks(host));
+  }
+
   @Override
   public synchronized void onState(String host, RankState state, long now) {
     if (!isLeading || state.membership().isEmpty()) {
@@ -80,7 +95,16 @@
     if (known == null || known.size() != place.size()) {
       known =
           new GroupLead(
-              place.group(), place.size(), profile.get(), orders, tokens, clock, held, this);
+              place.group(),
+              place.size(),
+              profile.get(),
+              longestPauseMillis(target.get().service()),
+              orders,
+              tokens,
+              clock,
+              held,
+              notes,
+              this);
       groups.put(place.group(), known);
       logger.atInfo().log(
           "%s",
@@ -112,6 +136,21 @@
         .findFirst();
   }
 
+  /** The shortest of the pauses that the routes to a service allow. */
+  private long longestPauseMillis(String service) {
+    return configuration.get().stream()
+        .flatMap(each -> each.routesByHost().values().stream())
+        .flatMap(List::stream)
+        .filter(route -> route.longestPauseMillis() > 0)
+        .filter(
+            route ->
+                route.destinations().stream()
+                    .anyMatch(destination -> destination.service().equals(service)))
+        .mapToLong(Route::longestPauseMillis)
+        .min()
+        .orElse(UNSAID_PAUSE_MILLIS);
+  }
+
   private Optional<EngineProfile> profile(Target target) {
     return configuration
         .get()
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.experts;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.ranks.DemandNote;
 import dev.ibishub.core.ranks.ExpertDemand;
 import dev.ibishub.core.ranks.GroupMap;
 import dev.ibishub.core.ranks.MapSwitch;
@@ -36,13 +37,6 @@
    */
   static final long WINDOW_MILLIS = 300;
 
-  /**
-   * Copying for one map may take a rank about this long, milliseconds: one expert of the users'. A
-   * second map that completes the first is better than one that comes later, as what makes streams
-   * late is the time until the worst is over.
-   */
-  static final double COPY_MILLIS = 120;
-
   /** Part of the pass that one copied expert has to gain; it costs 15 in 100 while it lasts. */
   static final double LEAST_GAIN = 0.004;
 
@@ -50,25 +44,24 @@
   static final double GOOD_SKEW = 1.1;
 
   /**
-   * No map is made while the pass takes less than this many times the least. By the engines'
-   * figures a full group passes in time up to a skew of about 3, and the demand of one window
-   * differs by 1.25 from the next by chance; a map for that is in vain, and delays the next one
-   * that matters.
+   * Ranks of a group whose counts are read. The demand is the same at all of them; the counts of 72
+   * ranks with 12 sets of 144 experts would be a million numbers a second for the leading entry.
    */
-  static final double START_SKEW = 1.6;
+  static final int RANKS_COUNTED = 16;
 
-  /**
-   * Part of the ranks whose counts have to be known. The demand is the same at all of them, so a
-   * map can be made while an agent is away.
-   */
+  /** Part of these ranks whose counts have to be known, so that an agent may be away. */
   static final double LEAST_RANKS_KNOWN = 0.6;
 
+  /** Version of the map that a group has when it forms. */
+  private static final long FIRST_MAP = 0;
+
   /** Bits of a version that tell leaders apart, so that two never give one number to two maps. */
   private static final int SALT_BITS = 10;
 
   private final String group;
   private final int size;
   private final EngineProfile profile;
+  private final long longestPauseMillis;
   private final RankOrders orders;
   private final InstantSource clock;
   private final Object lock;
@@ -77,6 +70,7 @@
   private final Map<Integer, Target> byRank = new HashMap<>();
   private final Map<Integer, Double> paces = new HashMap<>();
   private final Map<String, RankEngine.HeldMap> heldByHost;
+  private final DemandNotes notes;
   private final long salt = ThreadLocalRandom.current().nextLong(1L << SALT_BITS);
   private Optional<GroupMap> planned = Optional.empty();
   private long plannedVersion;
@@ -88,17 +82,21 @@
       String group,
       int size,
       EngineProfile profile,
+      long longestPauseMillis,
       RankOrders orders,
       TokenSource tokens,
       InstantSource clock,
       Map<String, RankEngine.HeldMap> heldByHost,
+      DemandNotes notes,
       Object lock) {
     this.group = group;
     this.size = size;
     this.profile = profile;
+    this.longestPauseMillis = longestPauseMillis;
     this.orders = orders;
     this.clock = clock;
     this.heldByHost = heldByHost;
+    this.notes = notes;
     this.lock = lock;
     this.mapSwitch = new MapSwitch(size, tokens);
     this.demand = new ExpertDemand(profile.layers(), profile.experts(), WINDOW_MILLIS);
@@ -129,25 +127,50 @@
     rankAt(host).ifPresent(rank -> demand.onCounts(rank, picks.epoch(), picks.counts(), now));
   }
 
+  /** Whether a host's counts are needed, which is so as long as its rank is not known. */
+  boolean wantsPicks(String host) {
+    return rankAt(host).map(rank -> rank % stride() == 0).orElse(true);
+  }
+
+  /** Distance between two ranks that are counted. */
+  private int stride() {
+    return (size + RANKS_COUNTED - 1) / RANKS_COUNTED;
+  }
+
   void tick(long now) {
-    if (mapSwitch.isReady(now) && demand.ranksKnown() >= LEAST_RANKS_KNOWN * size) {
-      plan(now);
+    if (mapSwitch.isReady(now)) {
+      demandNow().ifPresent(tokens -> plan(tokens, now));
     }
     mapSwitch.tick(now).forEach(this::send);
     logPhase(now);
   }
 
-  private void plan(long now) {
+  /** What is in demand: counted, or for a group that has just formed what was lately noted. */
+  private Optional<double[][]> demandNow() {
+    if (demand.ranksKnown() >= LEAST_RANKS_KNOWN * size / stride()) {
+      double[][] tokens = demand.tokens();
+      notes.note(group, new DemandNote(clock.millis(), tokens));
+      return Optional.of(tokens);
+    }
+    boolean hasJustFormed = mapSwitch.mapVersion().orElse(-1) == FIRST_MAP;
+    return notes
+        .newest(group)
+        .filter(note -> hasJustFormed && note.isWithin(DemandNotes.USEFUL_MILLIS, clock.millis()))
+        .filter(note -> note.fits(profile.layers(), profile.experts()))
+        .map(DemandNote::tokens);
+  }
+
+  private void plan(double[][] tokens, long now) {
     Optional<GroupMap> current = currentMap();
     if (current.isEmpty()) {
       return;
     }
     double[] slowness = slowness();
-    if (current.get().skew(demand.tokens(), slowness) < START_SKEW) {
+    if (current.get().skew(tokens, slowness) < profile.startSkew(longestPauseMillis)) {
       return;
     }
     Optional<PlacementPlanner.Plan> plan =
-        PlacementPlanner.plan(current.get(), demand.tokens(), slowness, limits());
+        PlacementPlanner.plan(current.get(), tokens, slowness, limits());
     if (plan.isEmpty()) {
       return;
     }
@@ -165,7 +188,7 @@
             .with("fetches", plan.get().fetches())
             .with("skew_before", number(plan.get().skewBefore()))
             .with("skew_after", number(plan.get().skewAfter()))
-            .with("tokens", (long) demand.total())
+            .with("counted_tokens", (long) demand.total())
             .with("plan_ms", MonotonicClock.millis() - now));
   }
 
@@ -180,7 +203,9 @@
     return new PlacementLimits(
         profile.placesPerRank(),
         Math.max(1, profile.newPerSet()),
-        Math.max(1, (int) (COPY_MILLIS / fetchMillis)),
+        // A second map that completes the first is better than one that comes later, as what makes
+        // streams late is the time until the worst is over; so a rank copies for about one pause.
+        Math.max(1, (int) (longestPauseMillis / fetchMillis)),
         LEAST_GAIN,
         GOOD_SKEW);
   }
@@ -255,6 +280,7 @@
     if (phase == MapSwitch.Phase.IDLE && map != lastMapVersion) {
       lastMapVersion = map;
       demand.restart();
+      notes.write(group, now);
     }
     logger.atInfo().log(
         "%s",
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -21,65 +21,87 @@
   /** How long a leader's wish for picks holds, milliseconds. */
   static final long WATCH_MILLIS = 1_500;
 
-  /** A report that says nothing new is sent again after this long, milliseconds. */
-  private static final long REPEAT_MILLIS = 300;
+  /**
+   * Time between two reports of the load, milliseconds. A target of today's deployments gets some
+   * three requests a second, so less than one comes in that time that the reader has not sent
+   * itself. Agents are most of the fleet's processor time, and most of theirs goes into this.
+   */
+  private static final long PLAIN_REPORT_MILLIS = 200;
 
   /**
-   * Time between two reports to an entry that does not lead, milliseconds. Such an entry only wants
-   * the load, to which it adds what it sent itself; a report for each pass would cost 16 agents and
-   * 7 entries some 2,000 messages a second.
+   * How long after an order the engine is looked at more often, milliseconds. Copying for a map and
+   * switching to it take some 500; a leader waits for each word then. At other times a reading for
+   * each plain report does.
    */
-  private static final long PLAIN_REPORT_MILLIS = 100;
+  private static final long ORDERED_MILLIS = 600;
 
   /**
-   * How long after an order the engine's state is read each time that {@link #readState} is called,
-   * milliseconds. Copying for a map and switching to it take some 300; a leader waits for each word
-   * then. At other times a reading for each plain report does.
+   * Time between two looks at the engine then, milliseconds; passes take 45 and more, so hardly one
+   * is missed.
    */
-  private static final long ORDERED_MILLIS = 500;
+  private static final long ORDERED_LOOK_MILLIS = 45;
 
-  /** A reading that falls due within this is done now: the timer comes each 45 ms only. */
+  /** Time between two readings of what the engine's requests chose, milliseconds. */
+  private static final long PICKS_MILLIS = PLAIN_REPORT_MILLIS;
+
+  /** What falls due within this is done now, as timers are a little late. */
   private static final long EARLY_MILLIS = 15;
 
   private final RankEngine engine;
+  private final Runnable onOrdered;
   private final Set<Link> links = ConcurrentHashMap.newKeySet();
   private final Set<Watcher> watchers = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean isReadingState = new AtomicBoolean();
   private final AtomicBoolean isReadingPicks = new AtomicBoolean();
   private volatile RankState lastState;
-  private volatile long lastReadAt;
+  private volatile long lastPicksAt;
   private volatile long orderedAt = Long.MIN_VALUE / 2;
-  private volatile long lastReportAt;
   private volatile long lastPlainReportAt;
-  private volatile int lastPlainRequests = -1;
-  private volatile boolean lastPlainOpen = true;
   private volatile long reportedMapVersion = -1;
   private volatile long reportedMapEpoch = -1;
   private volatile boolean isReachable = true;
 
-  private record Watcher(Link link, long until) {}
+  private record Watcher(Link link, long until, boolean wantsPicks) {}
 
-  public RankAgent(RankEngine engine) {
+  /**
+   * Creates an agent that nobody is linked to.
+   *
+   * @param onOrdered called after an order, when {@link #untilNextLookMillis} has become less
+   */
+  public RankAgent(RankEngine engine, Runnable onOrdered) {
     this.engine = engine;
+    this.onOrdered = onOrdered;
   }
 
-  /** Reads the engine's state and tells it to the entries. To be called often. */
-  public void readState() {
+  /** Reads what is due of the engine and tells it to the entries. */
+  public void look() {
     long now = MonotonicClock.millis();
-    boolean isDue =
-        now - orderedAt <= ORDERED_MILLIS || now - lastReadAt >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
-    if (!isDue || links.isEmpty() || !isReadingState.compareAndSet(false, true)) {
+    readState();
+    if (now - lastPicksAt >= PICKS_MILLIS - EARLY_MILLIS) {
+      lastPicksAt = now;
+      readPicks(now);
+    }
+  }
+
+  /** Returns when {@link #look} is to be called again, milliseconds from now. */
+  public long untilNextLookMillis() {
+    boolean isOrdered = MonotonicClock.millis() - orderedAt <= ORDERED_MILLIS;
+    return isOrdered ? ORDERED_LOOK_MILLIS : PLAIN_REPORT_MILLIS;
+  }
+
+  private void readState() {
+    if (links.isEmpty() || !isReadingState.compareAndSet(false, true)) {
       return;
     }
-    lastReadAt = now;
     engine.state().whenComplete(this::onState);
   }
 
-  /** Reads what the engine's requests chose, where a leader wants to know. To be called often. */
-  public void readPicks() {
-    long now = MonotonicClock.millis();
+  /** Reads what the engine's requests chose, where a leader wants to know. */
+  private void readPicks(long now) {
     watchers.removeIf(watcher -> watcher.until() < now || !watcher.link().isOpen());
-    if (watchers.isEmpty() || !isReadingPicks.compareAndSet(false, true)) {
+    readMapIfNew();
+    if (watchers.stream().noneMatch(Watcher::wantsPicks)
+        || !isReadingPicks.compareAndSet(false, true)) {
       return;
     }
     engine
@@ -89,10 +111,11 @@
               isReadingPicks.set(false);
               if (failure == null) {
                 Frame frame = RankMessages.picks(picks);
-                watchers.forEach(watcher -> watcher.link().offer(frame));
+                watchers.stream()
+                    .filter(Watcher::wantsPicks)
+                    .forEach(watcher -> watcher.link().offer(frame));
               }
             });
-    readMapIfNew();
   }
 
   @Override
@@ -107,7 +130,7 @@
   @Override
   public void onFrame(Link link, Frame frame) {
     switch (frame.getBodyCase()) {
-      case RANK_WATCH -> onWatch(link);
+      case RANK_WATCH -> onWatch(link, !frame.getRankWatch().getWithoutPicks());
       case RANK_ORDER_CALL -> onOrder(link, frame.getRankOrderCall());
       default ->
           logger.atWarning().log(
@@ -120,10 +143,10 @@
     links.remove(link);
   }
 
-  private void onWatch(Link link) {
+  private void onWatch(Link link, boolean wantsPicks) {
     boolean isNew = watchers.stream().noneMatch(watcher -> watcher.link().equals(link));
     watchers.removeIf(watcher -> watcher.link().equals(link));
-    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS));
+    watchers.add(new Watcher(link, MonotonicClock.millis() + WATCH_MILLIS, wantsPicks));
     if (isNew) {
       reportedMapVersion = -1;
     }
@@ -137,7 +160,7 @@
         .thenAccept(
             result -> {
               link.offer(RankMessages.reply(call.getCallId(), result));
-              readState();
+              onOrdered.run();
             });
   }
 
@@ -159,18 +182,13 @@
 
   private void tell(RankState state, long now) {
     Frame frame = RankMessages.report(state);
-    if (!state.equals(lastState) || now - lastReportAt >= REPEAT_MILLIS) {
-      lastReportAt = now;
+    boolean isPlainDue = now - lastPlainReportAt >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
+    if (isPlainDue || !state.equals(lastState)) {
       watchers.forEach(watcher -> watcher.link().offer(frame));
     }
     lastState = state;
-    long sincePlain = now - lastPlainReportAt;
-    boolean hasNewLoad = state.requests() != lastPlainRequests || state.isOpen() != lastPlainOpen;
-    boolean isPlainDue = sincePlain >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
-    if (sincePlain >= REPEAT_MILLIS || (hasNewLoad && isPlainDue)) {
+    if (isPlainDue) {
       lastPlainReportAt = now;
-      lastPlainRequests = state.requests();
-      lastPlainOpen = state.isOpen();
       links.stream().filter(link -> !isWatching(link)).forEach(link -> link.offer(frame));
     }
   }
@@ -181,7 +199,7 @@
 
   private void readMapIfNew() {
     RankState state = lastState;
-    if (state == null || state.membership().isEmpty()) {
+    if (watchers.isEmpty() || state == null || state.membership().isEmpty()) {
       return;
     }
     RankState.Membership place = state.membership().get();
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -1,7 +1,6 @@
 package dev.ibishub.gateway.experts;
 
 import com.google.common.flogger.FluentLogger;
-import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.Link;
@@ -11,7 +10,6 @@
 import dev.ibishub.wire.generated.RankOrderReply;
 import dev.ibishub.wire.generated.RankWatch;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -19,10 +17,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Collectors;
+import java.util.function.Predicate;
 
 /**
- * An entry's links to the agents beside the targets. Thread-safe by one lock.
+ * Links of an entry that hears the agents beside the targets. Thread-safe by one lock.
  *
  * <p>An agent listens at its target's IP number, so nothing has to be told to find it.
  */
@@ -38,12 +36,9 @@
   /** How long an agent's answer to an order is waited for, milliseconds. */
   private static final long REPLY_MILLIS = 160;
 
-  private static final Frame WATCH =
-      Frame.newBuilder().setRankWatch(RankWatch.getDefaultInstance()).build();
-
   private final WireTransport transport;
   private final int linkPort;
-  private final TargetDirectory targets;
+  private final LoadRelay loads;
   private final RankListener listener;
   private final Map<String, Agent> agents = new HashMap<>();
   private final Map<Link, String> hosts = new ConcurrentHashMap<>();
@@ -71,12 +66,13 @@
    * Creates links to no agent yet.
    *
    * @param linkPort the port at which agents listen
+   * @param loads told of the load of targets
+   * @param listener told of all that agents say
    */
-  public RankLinks(
-      WireTransport transport, int linkPort, TargetDirectory targets, RankListener listener) {
+  public RankLinks(WireTransport transport, int linkPort, LoadRelay loads, RankListener listener) {
     this.transport = transport;
     this.linkPort = linkPort;
-    this.targets = targets;
+    this.loads = loads;
     this.listener = listener;
   }
 
@@ -85,13 +81,15 @@
    *
    * @param wanted IP numbers of targets beside which there may be an agent
    * @param watches whether this entry wants picks and maps besides the load
+   * @param picks tells for a host whether its picks are wanted
    */
-  public synchronized void tick(Set<String> wanted, boolean watches, long now) {
+  public synchronized void tick(
+      Set<String> wanted, boolean watches, Predicate<String> picks, long now) {
     agents.entrySet().removeIf(agent -> closeIfUnwanted(agent.getKey(), agent.getValue(), wanted));
     wanted.forEach(host -> dialIfMissing(host, now));
     if (watches && (now >= nextWatchAt || !wasWatching)) {
       nextWatchAt = now + WATCH_MILLIS;
-      open().forEach(link -> link.offer(WATCH));
+      agents.forEach((host, agent) -> watch(agent.link, picks.test(host)));
     }
     wasWatching = watches;
   }
@@ -158,7 +156,7 @@
   }
 
   private void onReport(String host, RankState state, long now) {
-    targets.onReport(host, state.load(now));
+    loads.onReport(host, state.load(now));
     listener.onState(host, state, now);
   }
 
@@ -173,11 +171,11 @@
     return Optional.ofNullable(agents.get(host)).map(agent -> agent.link).filter(Link::isOpen);
   }
 
-  private List<Link> open() {
-    return agents.values().stream()
-        .map(agent -> agent.link)
-        .filter(link -> link != null && link.isOpen())
-        .collect(Collectors.toList());
+  private static void watch(Link link, boolean picks) {
+    if (link != null && link.isOpen()) {
+      link.offer(
+          Frame.newBuilder().setRankWatch(RankWatch.newBuilder().setWithoutPicks(!picks)).build());
+    }
   }
 
   private static boolean closeIfUnwanted(String host, Agent agent, Set<String> wanted) {
@@ -210,7 +208,7 @@
       hosts.put(link, host);
       if (wasWatching) {
         // Waiting for the next word to all cost the first map after a loss of power 0.4 s.
-        link.offer(WATCH);
+        watch(link, true);
       }
     }
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
@@ -31,6 +31,7 @@
   private final RankLinks links;
   private final Function<Target, RankEngine> engines;
   private final TargetDirectory targets;
+  private final LoadRelay loads;
   private final RankLinks.RankListener listener;
   private final Set<String> unanswered = ConcurrentHashMap.newKeySet();
   private final Map<String, Long> nextLookAt = new ConcurrentHashMap<>();
@@ -39,16 +40,19 @@
    * Creates the ways.
    *
    * @param engines reaches an engine from afar
+   * @param loads told of the load of targets whose agent is away
    * @param listener told of what engines say whose agent is away
    */
   public RankPaths(
       RankLinks links,
       Function<Target, RankEngine> engines,
       TargetDirectory targets,
+      LoadRelay loads,
       RankLinks.RankListener listener) {
     this.links = links;
     this.engines = engines;
     this.targets = targets;
+    this.loads = loads;
     this.listener = listener;
   }
 
@@ -92,7 +96,7 @@
       return;
     }
     long now = MonotonicClock.millis();
-    targets.onReport(host, state.load(now));
+    loads.onReport(host, state.load(now));
     listener.onState(host, state, now);
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankState.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankState.java
@@ -19,7 +19,12 @@
    * @param now when it was heard, on this process's monotonic clock
    */
   public TargetReport load(long now) {
-    return new TargetReport(requests, pace, isOpen(), now);
+    return new TargetReport(
+        requests,
+        pace,
+        isOpen(),
+        now,
+        membership.map(place -> new TargetReport.GroupWord(place.group(), place.epoch())));
   }
 
   /** Whether it takes requests: one that belongs to a group only does while the group works. */
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.SilenceRule;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.gateway.model.EngineProfile;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
 import dev.ibishub.runtime.MonotonicClock;
@@ -37,33 +38,13 @@
   /** With less time than this left no target could answer; the request ends. Milliseconds. */
   private static final long LEAST_USEFUL_MILLIS = 15;
 
-  /**
-   * Requests that may wait at an engine beyond its slots. With eight streams of some two seconds
-   * each, one place comes free every quarter of a second, so the second in the queue would already
-   * miss a first piece within 0.4 s.
-   */
-  static final double WAITING_PER_TARGET = 1;
-
   /** Until a retry may help when nothing is known of targets, milliseconds. */
   private static final long UNKNOWN_RETRY_MILLIS = 500;
 
   /** Until a caller should go to another entry, milliseconds; there it is served at once. */
   private static final long LEAVING_RETRY_MILLIS = 10;
 
-  /**
-   * How long a page may take before another target is asked as well, milliseconds. Most pages take
-   * 60 to 90; a target that swallows requests otherwise costs the caller the whole time of the
-   * route. The first target goes on: given up, one in seven of those asked instead failed where the
-   * first would have answered.
-   */
-  private static final long PAGE_SILENCE_MILLIS = 260;
-
-  /**
-   * How long a group of ranks that is about to open is waited for, milliseconds; forming takes some
-   * 600. At most this part of the request's time.
-   */
-  private static final long FORMING_MILLIS = 900;
-
+  /** A group of ranks that is about to open is waited for at most this part of the time left. */
   private static final long FORMING_PART = 8;
 
   /** Time between two looks at a group that is about to open, milliseconds. */
@@ -187,7 +168,8 @@
 
   /** Whether a group that is about to open is still waited for; a short while only. */
   private boolean mayWaitForGroup(long now) {
-    long patience = Math.min(FORMING_MILLIS, (routed.deadline() - arrivedAt) / FORMING_PART);
+    long forming = routed.engine().map(EngineProfile::formingMillis).orElse(0L);
+    long patience = Math.min(forming, (routed.deadline() - arrivedAt) / FORMING_PART);
     groupUntil = Math.min(groupUntil, now + patience);
     return now < groupUntil;
   }
@@ -228,7 +210,8 @@
     double full =
         routed
             .engine()
-            .map(profile -> profile.slots() + WAITING_PER_TARGET)
+            .map(profile -> profile.slots() + profile.waitingInTime(routed.route().aimMillis()))
+            .map(Integer::doubleValue)
             .orElse(Double.MAX_VALUE);
     TargetChoice choice = new TargetChoice(context.entries().getAsInt(), full);
     return TargetDirectory.choose(choice, usable, tried, context.targets().ownZone(), now);
@@ -264,10 +247,17 @@
     } else if (isClosed) {
       refuse(ResultCode.NO_TARGET, ReturnAdvice.whileClosed(routed.deadline() - now, point));
     } else {
-      refuse(ResultCode.OVERLOADED, ReturnAdvice.whenFull(point));
+      refuse(ResultCode.OVERLOADED, adviceWhenFull(point));
     }
   }
 
+  private long adviceWhenFull(double point) {
+    return routed
+        .engine()
+        .map(profile -> ReturnAdvice.whenFull(profile.slotFreesMillis(), point))
+        .orElseGet(() -> ReturnAdvice.whenFull(point));
+  }
+
   /** One attempt at one target, and what it brings. */
   private final class Attempt implements AttemptRelay.Listener {
     private final TargetDirectory.Known target;
@@ -285,7 +275,13 @@
     /** Has itself looked after, that another target may take over when this one is silent. */
     void watchSilence() {
       if (routed.route().kind() == RequestKind.IDEMPOTENT && routed.engine().isEmpty()) {
-        silence = loop.schedule(this::onPageSilence, PAGE_SILENCE_MILLIS, TimeUnit.MILLISECONDS);
+        // The first target goes on: given up, one in seven of those asked instead failed where the
+        // first would have answered.
+        context
+            .services()
+            .answers(routed.service())
+            .silenceMillis(routed.route().aimMillis())
+            .ifPresent(this::awaitPage);
       } else if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
         silence =
             loop.scheduleWithFixedDelay(
@@ -293,6 +289,10 @@
       }
     }
 
+    private void awaitPage(long millis) {
+      silence = loop.schedule(this::onPageSilence, millis, TimeUnit.MILLISECONDS);
+    }
+
     private void onPageSilence() {
       if (attempts.contains(this) && !relay.isAnswering()) {
         isSilent = true;
@@ -307,7 +307,7 @@
               .engine()
               .map(profile -> target.load().isQueueing(now, profile.slots()))
               .orElse(false);
-      OptionalLong movingSince = context.streams().of(routed.service()).movingSince(now);
+      OptionalLong movingSince = context.services().streams(routed.service()).movingSince(now);
       boolean isLost = SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince);
       if (isLost && attempts.contains(this)) {
         moveElsewhere(now);
@@ -364,7 +364,9 @@
     @Override
     public void onWhole(int status, HttpHeaders headers, byte[] body) {
       endOthers();
-      pauses.onPiece(MonotonicClock.millis());
+      long now = MonotonicClock.millis();
+      pauses.onPiece(now);
+      context.services().answers(routed.service()).onGood(now - heardAt);
       onGoodAnswer();
       answer.whole(status, headers, body);
       done("ok");
@@ -386,7 +388,7 @@
       heardAt = MonotonicClock.millis();
       hasPiece = true;
       pauses.onPiece(heardAt);
-      context.streams().of(routed.service()).onPiece(heardAt);
+      context.services().streams(routed.service()).onPiece(heardAt);
       answer.part(bytes);
       if (!answer.isWritable()) {
         relay.setReading(false);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -13,7 +13,7 @@
  * @param configuration the configuration in force, empty while none is known
  * @param targets the targets
  * @param budgets the retry budgets
- * @param streams whether the streams of each service move
+ * @param services what is seen of each service's answers
  * @param entries how many entries share the targets, 1 or more
  * @param stop whether and when this process stops
  * @param metrics what is counted
@@ -24,7 +24,7 @@
     Supplier<Optional<ServingConfiguration>> configuration,
     TargetDirectory targets,
     RetryBudgets budgets,
-    StreamWatch streams,
+    ServiceWatch services,
     IntSupplier entries,
     StopPlan stop,
     RequestMetrics metrics,
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.front;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.serving.GroupOpenness;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
@@ -46,6 +48,7 @@
   private final Map<String, Known> known = new HashMap<>();
   private volatile Map<String, List<Known>> usableByService = Map.of();
   private volatile Map<String, List<Known>> byHost = Map.of();
+  private final Map<String, GroupOpenness> groups = new ConcurrentHashMap<>();
 
   /**
    * A target and what is believed of it.
@@ -187,7 +190,18 @@
 
   /** Takes in what the target at an IP number said of its work. */
   public void onReport(String host, TargetReport report) {
-    atHost(host).forEach(known -> known.load().onReport(report));
+    Optional<GroupOpenness> group =
+        report.group().map(word -> groups.computeIfAbsent(word.name(), any -> new GroupOpenness()));
+    group.ifPresent(
+        openness ->
+            openness.onWord(
+                report.group().orElseThrow().epoch(), report.isOpen(), report.measuredAt()));
+    atHost(host)
+        .forEach(
+            known -> {
+              group.ifPresent(known.load()::onGroup);
+              known.load().onReport(report);
+            });
   }
 
   /** Returns the targets at an IP number. */
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -1,6 +1,8 @@
 package dev.ibishub.gateway.membership;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.entries.EntryFacts;
+import dev.ibishub.core.entries.EntryRoster;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.Link;
@@ -8,24 +10,27 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.EntryBeat;
 import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.LoadReports;
 import dev.ibishub.wire.generated.RecordProgress;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 
 /**
- * Links between all entries, and what they say over them. Thread-safe by one lock.
+ * Links between entries, and what they say over them. Thread-safe by one lock.
  *
- * <p>An entry counts as alive while its heartbeats come. It is found by the seeds of the settings,
- * by the platform's store, and by what other entries name; no list of members has to be agreed on,
- * since nothing that must be right depends on it.
+ * <p>Each entry links to the few that come first, see {@link EntryRoster}, and these tell it of all
+ * others. It is found by the seeds of the settings, by the platform's store, and by what other
+ * entries name.
  */
 public final class PeerMesh implements LinkListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -33,8 +38,8 @@
   /** Time between two heartbeats, milliseconds. */
   static final long BEAT_MILLIS = 200;
 
-  /** An entry that was silent for longer than this is not named to callers any more. */
-  static final long ALIVE_MILLIS = 900;
+  /** Time between two looks at which links there should be, milliseconds. */
+  private static final long LOOK_MILLIS = 100;
 
   /** Time between two tries to reach an entry, milliseconds. */
   private static final long DIAL_MILLIS = 500;
@@ -42,8 +47,8 @@
   /** The same while this entry makes up its mind whether it leads, milliseconds. */
   private static final long SETTLING_DIAL_MILLIS = 150;
 
-  /** An entry that nobody has heard for this long is no longer called. Milliseconds. */
-  private static final long FORGET_MILLIS = 30_000;
+  /** How long a link that is not wanted any more stays, as views change. Milliseconds. */
+  private static final long UNWANTED_MILLIS = 2_000;
 
   /** After this long without an own turn, what is known of others is out of date. Milliseconds. */
   private static final long STALL_MILLIS = 600;
@@ -62,11 +67,15 @@
   private final Self self;
   private final WireTransport transport;
   private final Supplier<List<Frame>> snapshots;
-  private final Consumer<RecordProgress> onProgress;
-  private final Map<String, Peer> peers = new HashMap<>();
-  private final Map<String, Known> hosts = new HashMap<>();
+  private final Listener listener;
+  private final EntryRoster roster;
+  private final Map<Link, Known> links = new HashMap<>();
+  private final Map<String, Dial> dials = new HashMap<>();
+  private Set<String> wanted = Set.of();
+  private Set<String> alive = Set.of();
   private long lastTickAt;
   private long nextBeatAt;
+  private long nextLookAt;
   private long leadsFrom;
 
   /**
@@ -76,6 +85,7 @@
    * @param host its IP number
    * @param linkPort the port for links, the same for all
    * @param callerAddress where callers' requests are taken
+   * @param startedAt when it started, milliseconds of the time of day
    * @param isReady whether callers may be sent there
    * @param isLeaving whether it is about to stop
    */
@@ -84,48 +94,52 @@
       String host,
       int linkPort,
       String callerAddress,
+      long startedAt,
       BooleanSupplier isReady,
-      BooleanSupplier isLeaving) {}
+      BooleanSupplier isLeaving) {
 
-  private static final class Peer {
-    private Link link;
-    private EntryBeat beat = EntryBeat.getDefaultInstance();
-    private long heardAt = Long.MIN_VALUE / 2;
-
-    private boolean isLinkedUnheard() {
-      return link != null && link.isOpen() && heardAt < 0;
+    private EntryFacts facts() {
+      return new EntryFacts(
+          host, callerAddress, startedAt, isReady.getAsBoolean(), isLeaving.getAsBoolean());
     }
   }
 
+  /**
+   * Told of what other entries know.
+   *
+   * @param onProgress takes what one read of the platform's records; returns whether it was news
+   * @param onLoads takes what one heard of the targets' load
+   */
+  public record Listener(Predicate<RecordProgress> onProgress, Consumer<LoadReports> onLoads) {}
+
   private static final class Known {
-    private long nextDialAt;
-    private long namedAt;
-    private boolean isDialing;
-    private boolean wasDialed;
+    private String host = "";
+    private boolean isOpener;
+    private long unwantedSince = Long.MAX_VALUE;
+  }
+
+  private static final class Dial {
+    private long nextAt;
+    private boolean isUnderWay;
   }
 
   /**
    * Creates a mesh without peers.
    *
    * @param snapshots what to tell an entry that has just been linked: all that is known
-   * @param onProgress told of what other entries read
    */
   public PeerMesh(
-      Self self,
-      WireTransport transport,
-      Supplier<List<Frame>> snapshots,
-      Consumer<RecordProgress> onProgress) {
+      Self self, WireTransport transport, Supplier<List<Frame>> snapshots, Listener listener) {
     this.self = self;
     this.transport = transport;
     this.snapshots = snapshots;
-    this.onProgress = onProgress;
+    this.listener = listener;
+    this.roster = new EntryRoster(self.host(), self.startedAt());
   }
 
   /** Names IP numbers at which there may be entries. */
   public synchronized void addHosts(Collection<String> named, long now) {
-    named.stream()
-        .filter(host -> !host.equals(self.host()))
-        .forEach(host -> hosts.computeIfAbsent(host, any -> new Known()).namedAt = now);
+    named.forEach(host -> roster.onNamed(host, now));
   }
 
   /** Sends heartbeats and opens missing links. To be called often. */
@@ -137,20 +151,22 @@
     lastTickAt = now;
     if (now >= nextBeatAt) {
       nextBeatAt = now + BEAT_MILLIS;
-      Frame beat = Frame.newBuilder().setEntryBeat(beat(now)).build();
+      Frame beat = beat(now);
       open().forEach(link -> link.offer(beat));
     }
-    hosts.values().removeIf(known -> now - known.namedAt > FORGET_MILLIS);
-    hosts.forEach((host, known) -> dialIfMissing(host, known, now));
+    if (now >= nextLookAt) {
+      nextLookAt = now + LOOK_MILLIS;
+      look(now);
+    }
   }
 
-  /** Tells all linked entries what this one read. */
+  /** Tells all linked entries what this one read or heard. */
   public void broadcast(Frame frame) {
-    List<Link> links;
+    List<Link> targets;
     synchronized (this) {
-      links = open().toList();
+      targets = open();
     }
-    links.forEach(link -> link.offer(frame));
+    targets.forEach(link -> link.offer(frame));
   }
 
   /** Returns the addresses that callers may use, this entry's own first. */
@@ -159,9 +175,9 @@
     if (self.isReady().getAsBoolean() && !self.isLeaving().getAsBoolean()) {
       addresses.add(self.callerAddress());
     }
-    alive(now)
-        .filter(peer -> peer.beat.getReady() && !peer.beat.getLeaving())
-        .map(peer -> peer.beat.getCallerAddress())
+    roster.alive(now).stream()
+        .filter(entry -> entry.isReady() && !entry.isLeaving())
+        .map(EntryFacts::callerAddress)
         .filter(address -> !address.isEmpty() && !address.equals(self.callerAddress()))
         .sorted()
         .forEach(addresses::add);
@@ -170,16 +186,12 @@
 
   /** Returns how many entries send requests to targets, this one included. */
   public synchronized int entries(long now) {
-    return 1 + (int) alive(now).count();
+    return 1 + roster.countAlive(now);
   }
 
   /** Returns this entry's place among those that stay, from 0. */
   public synchronized int turn(long now) {
-    return (int)
-        peers.entrySet().stream()
-            .filter(peer -> isAlive(peer.getValue(), now) && !peer.getValue().beat.getLeaving())
-            .filter(peer -> peer.getKey().compareTo(self.processId()) < 0)
-            .count();
+    return roster.turn(now);
   }
 
   /**
@@ -187,21 +199,30 @@
    * does has to bear it.
    */
   public synchronized boolean leads(long now) {
+    return isFirst(1, now);
+  }
+
+  /**
+   * Whether this entry is among the first that stay.
+   *
+   * @param places how many there are to be
+   */
+  public synchronized boolean isFirst(int places, long now) {
     boolean hasSettled =
         now >= leadsFrom
-            && (now >= leadsFrom + LONGER_SETTLING_MILLIS || !isFirstLinkComingAbout());
+            && (now >= leadsFrom + LONGER_SETTLING_MILLIS || !roster.isAnyPending(now));
     return hasSettled
         && now - lastTickAt <= STALL_MILLIS
         && !self.isLeaving().getAsBoolean()
-        && turn(now) == 0;
+        && roster.turn(now) < places;
   }
 
   @Override
   public void onOpen(Link link) {
     synchronized (this) {
-      peers.computeIfAbsent(link.peer().processId(), any -> new Peer()).link = link;
+      links.computeIfAbsent(link, any -> new Known());
       // The next heartbeat may be 200 ms away, in which this entry is as good as unknown.
-      link.offer(Frame.newBuilder().setEntryBeat(beat(MonotonicClock.millis())).build());
+      link.offer(beat(MonotonicClock.millis()));
     }
     snapshots.get().forEach(link::offer);
   }
@@ -210,7 +231,8 @@
   public void onFrame(Link link, Frame frame) {
     switch (frame.getBodyCase()) {
       case ENTRY_BEAT -> onBeat(link, frame.getEntryBeat());
-      case RECORD_PROGRESS -> onProgress.accept(frame.getRecordProgress());
+      case RECORD_PROGRESS -> onProgress(link, frame);
+      case LOAD_REPORTS -> listener.onLoads().accept(frame.getLoadReports());
       default ->
           logger.atWarning().log(
               "%s",
@@ -222,79 +244,102 @@
 
   @Override
   public synchronized void onClose(Link link) {
-    Peer peer = peers.get(link.peer().processId());
-    if (peer != null && peer.link == link) {
-      peer.link = null;
-    }
+    links.remove(link);
   }
 
   private synchronized void onBeat(Link link, EntryBeat beat) {
     long now = MonotonicClock.millis();
-    Peer peer = peers.computeIfAbsent(link.peer().processId(), any -> new Peer());
-    if (!isAlive(peer, now) || peer.beat.getLeaving() != beat.getLeaving()) {
-      logger.atInfo().log(
-          "%s",
-          LogEvent.of("entry.heard")
-              .with("entry", link.peer().processId())
-              .with("leaving", beat.getLeaving()));
+    links.computeIfAbsent(link, any -> new Known()).host = beat.getHost();
+    roster.onHeard(BeatMessages.facts(beat), now);
+    beat.getHeardList()
+        .forEach(word -> roster.onTold(BeatMessages.facts(word), now - word.getAgeMillis(), now));
+  }
+
+  /**
+   * Passes news on where its reader is linked to a few entries only. One that comes first is linked
+   * to all, so what it read needs no passing on.
+   */
+  private void onProgress(Link from, Frame frame) {
+    if (!listener.onProgress().test(frame.getRecordProgress())) {
+      return;
     }
-    if (peer.link == null || !peer.link.isOpen()) {
-      peer.link = link;
+    List<Link> others;
+    synchronized (this) {
+      boolean isLinkedToAll = !links.containsKey(from) || wanted.contains(links.get(from).host);
+      others = isLinkedToAll ? List.of() : open();
     }
-    peer.beat = beat;
-    peer.heardAt = now;
-    addHosts(beat.getKnownHostsList(), now);
-    addHosts(List.of(beat.getHost()), now);
+    others.stream().filter(link -> !link.equals(from)).forEach(link -> link.offer(frame));
   }
 
-  private EntryBeat beat(long now) {
-    return EntryBeat.newBuilder()
-        .setHost(self.host())
-        .setCallerAddress(self.callerAddress())
-        .setReady(self.isReady().getAsBoolean())
-        .setLeaving(self.isLeaving().getAsBoolean())
-        .addAllKnownHosts(alive(now).map(peer -> peer.beat.getHost()).toList())
-        .build();
+  private void look(long now) {
+    wanted = new HashSet<>(roster.wanted(now));
+    Set<String> linked =
+        links.entrySet().stream()
+            .filter(link -> link.getKey().isOpen())
+            .map(link -> link.getValue().host)
+            .collect(Collectors.toSet());
+    dials.keySet().removeIf(host -> !wanted.contains(host) && !dials.get(host).isUnderWay);
+    wanted.stream().filter(host -> !linked.contains(host)).forEach(host -> dial(host, now));
+    Map.copyOf(links).forEach((link, known) -> closeIfUnwanted(link, known, now));
+    logChanges(now);
   }
 
-  private void dialIfMissing(String host, Known known, long now) {
-    boolean isLinked =
-        peers.values().stream()
-            .anyMatch(
-                peer ->
-                    peer.link != null && peer.link.isOpen() && peer.beat.getHost().equals(host));
-    if (isLinked || known.isDialing || now < known.nextDialAt) {
+  /** Closes a link that this entry opened; one that the other opened is the other's to close. */
+  private void closeIfUnwanted(Link link, Known known, long now) {
+    if (!known.isOpener || wanted.contains(known.host)) {
+      known.unwantedSince = Long.MAX_VALUE;
       return;
     }
-    known.isDialing = true;
-    transport.connect(host, self.linkPort(), this).whenComplete((link, failure) -> onDialed(known));
+    known.unwantedSince = Math.min(known.unwantedSince, now);
+    if (now - known.unwantedSince >= UNWANTED_MILLIS) {
+      link.close();
+    }
   }
 
-  private synchronized void onDialed(Known known) {
-    long now = MonotonicClock.millis();
-    known.isDialing = false;
-    known.wasDialed = true;
-    known.nextDialAt = now + (now < leadsFrom ? SETTLING_DIAL_MILLIS : DIAL_MILLIS);
+  private void logChanges(long now) {
+    Set<String> before = alive;
+    alive = roster.alive(now).stream().map(EntryFacts::host).collect(Collectors.toSet());
+    alive.stream().filter(host -> !before.contains(host)).forEach(host -> log("entry.heard", host));
+    before.stream().filter(host -> !alive.contains(host)).forEach(host -> log("entry.lost", host));
   }
 
-  private boolean isFirstLinkComingAbout() {
-    return hosts.values().stream().anyMatch(known -> known.isDialing && !known.wasDialed)
-        || peers.values().stream().anyMatch(Peer::isLinkedUnheard);
+  private void log(String event, String host) {
+    logger.atInfo().log("%s", LogEvent.of(event).with("host", host).with("alive", alive.size()));
   }
 
-  private Stream<Link> open() {
-    return peers.values().stream()
-        .map(peer -> peer.link)
-        .filter(link -> link != null && link.isOpen());
+  private Frame beat(long now) {
+    return BeatMessages.frame(self.facts(), roster.heard(now), now);
   }
 
-  private Stream<Peer> alive(long now) {
-    return peers.values().stream()
-        .filter(peer -> isAlive(peer, now))
-        .sorted(Comparator.comparing(peer -> peer.beat.getHost()));
+  private void dial(String host, long now) {
+    Dial dial = dials.computeIfAbsent(host, any -> new Dial());
+    if (dial.isUnderWay || now < dial.nextAt) {
+      return;
+    }
+    dial.isUnderWay = true;
+    transport
+        .connect(host, self.linkPort(), this)
+        .whenComplete((link, failure) -> onDialed(dial, host, link));
+  }
+
+  private synchronized void onDialed(Dial dial, String host, Link link) {
+    long now = MonotonicClock.millis();
+    dial.isUnderWay = false;
+    dial.nextAt = now + (now < leadsFrom ? SETTLING_DIAL_MILLIS : DIAL_MILLIS);
+    if (link != null && link.isOpen()) {
+      Known known = links.computeIfAbsent(link, any -> new Known());
+      known.host = host;
+      known.isOpener = true;
+    }
   }
 
-  private static boolean isAlive(Peer peer, long now) {
-    return now - peer.heardAt <= ALIVE_MILLIS;
+  /** Returns one open link to each entry; two that open one to each other have two. */
+  private List<Link> open() {
+    return List.copyOf(
+        links.keySet().stream()
+            .filter(Link::isOpen)
+            .collect(
+                Collectors.toMap(link -> link.peer().processId(), link -> link, (one, two) -> one))
+            .values());
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
@@ -8,12 +8,16 @@
  * @param requestMillis what each running request adds to a step, milliseconds
  * @param stepsPerPass steps of a pass that writes
  * @param usualAnswerTokens mean length of an answer
+ * @param usualPromptTokens mean length of a prompt
+ * @param readTokensPerMilli prompt tokens that are read in a millisecond; 0 where it isn't said
  * @param layers sets of layers that have experts of their own; 0 for engines without experts
  * @param experts experts in each set
  * @param placesPerRank the most experts of a set that a rank holds
  * @param newPerSet the most experts of a set that a rank may fetch for one map
  * @param expertMegabytes size of an expert
  * @param linkMegabits speed at which experts are fetched, megabits a second
+ * @param expertShare part of the work for tokens that experts do, 0 to 1
+ * @param formMillis how long a group takes to open once all its ranks are there, milliseconds
  */
 public record EngineProfile(
     int slots,
@@ -21,16 +25,32 @@
     double requestMillis,
     int stepsPerPass,
     int usualAnswerTokens,
+    int usualPromptTokens,
+    double readTokensPerMilli,
     int layers,
     int experts,
     int placesPerRank,
     int newPerSet,
     double expertMegabytes,
-    double linkMegabits) {
+    double linkMegabits,
+    double expertShare,
+    long formMillis) {
 
   private static final double BITS_PER_BYTE = 8;
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Skew of a map that is as even as maps become with few places a rank. */
+  private static final double EVEN_SKEW = 1.2;
+
+  /** Skew from which a map is made where the engines' times are not stated. */
+  private static final double UNSTATED_START_SKEW = 1.6;
+
+  /** Highest skew that is left alone: the group then carries half of what it could. */
+  private static final double LATEST_START_SKEW = 2;
+
+  /** How much longer than stated a group that forms is waited for. */
+  private static final double FORMING_TOLERANCE = 1.5;
+
   /** Whether the engines form groups that share experts. */
   public boolean hasExperts() {
     return layers > 0 && experts > 0;
@@ -42,4 +62,55 @@
         ? 0
         : expertMegabytes * BITS_PER_BYTE / linkMegabits * MILLIS_PER_SECOND;
   }
+
+  /**
+   * Returns how long a pass takes with all slots taken and one usual prompt to read, milliseconds.
+   *
+   * @param skew how many times the mean the most loaded ranks have to do for tokens
+   */
+  public double passMillis(double skew) {
+    return stepsPerPass * stepMillis + tokenMillis() * (1 - expertShare + expertShare * skew);
+  }
+
+  /**
+   * Returns the skew from which a new map is worth its copies: halfway from even to where a full
+   * pass takes as long as the longest pause wanted. At 120 ms and the engines of today that is 1.8.
+   *
+   * @param longestPauseMillis the longest pause wanted between two pieces of a stream
+   */
+  public double startSkew(long longestPauseMillis) {
+    if (tokenMillis() <= 0 || expertShare <= 0) {
+      return UNSTATED_START_SKEW;
+    }
+    double rest = (longestPauseMillis - stepsPerPass * stepMillis) / tokenMillis();
+    double latest = 1 + (rest - 1) / expertShare;
+    return Math.min(LATEST_START_SKEW, Math.max(EVEN_SKEW, (1 + latest) / 2));
+  }
+
+  /** Returns how long it takes until one of a full engine's slots comes free, milliseconds. */
+  public double slotFreesMillis() {
+    double step = passMillis(EVEN_SKEW) / stepsPerPass;
+    return usualAnswerTokens * step / Math.max(1, slots);
+  }
+
+  /**
+   * Returns how many requests may wait at an engine beyond its slots so that the last of them still
+   * gets its first piece in time; 1 at least, as slots would stand empty between two reports.
+   *
+   * @param aimMillis the time within which a first piece is wanted, milliseconds; 0 for none
+   */
+  public int waitingInTime(long aimMillis) {
+    double rest = aimMillis - passMillis(EVEN_SKEW);
+    return Math.max(1, (int) (rest / Math.max(1, slotFreesMillis())));
+  }
+
+  /** Returns how long a group of which all ranks are there may take to open, milliseconds. */
+  public long formingMillis() {
+    return (long) (FORMING_TOLERANCE * formMillis);
+  }
+
+  private double tokenMillis() {
+    double read = readTokensPerMilli <= 0 ? 0 : usualPromptTokens / readTokensPerMilli;
+    return stepsPerPass * requestMillis * slots + read;
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -123,11 +123,15 @@
    * Takes a batch in that another entry read.
    *
    * @param now the current time, milliseconds
+   * @return whether it reached further than what was known
    */
-  public synchronized void onHeard(RecordBatch batch, long now) {
-    if (batch.isWhole() ? batch.end() >= next : next != UNKNOWN && batch.from() <= next) {
+  public synchronized boolean onHeard(RecordBatch batch, long now) {
+    boolean isNews = batch.end() > next;
+    boolean fits = batch.isWhole() ? batch.end() >= next : next != UNKNOWN && batch.from() <= next;
+    if (fits) {
       take(batch, now);
     }
+    return fits && isNews;
   }
 
   private void finish(RecordBatch batch, Throwable failure) {
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/LoadRelayTest.java
@@ -0,0 +1,85 @@
+package dev.ibishub.gateway.experts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.serving.TargetReport;
+import dev.ibishub.gateway.front.TargetDirectory;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.wire.generated.Frame;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class LoadRelayTest {
+  private static final String HOST = "10.0.0.1";
+
+  private final TargetDirectory collectorsTargets = new TargetDirectory("z");
+  private final TargetDirectory othersTargets = new TargetDirectory("z");
+  private final List<Frame> sent = new ArrayList<>();
+  private final LoadRelay collector = new LoadRelay(collectorsTargets, sent::add);
+  private final LoadRelay other = new LoadRelay(othersTargets, frame -> {});
+
+  @BeforeEach
+  void announce() {
+    Target target = new Target("t", "models", HOST, 80, "z", 8, false, 1);
+    collectorsTargets.onAnnounced(target, 1);
+    othersTargets.onAnnounced(target, 1);
+  }
+
+  private static double requests(TargetDirectory targets, long now) {
+    return targets.atHost(HOST).get(0).load().requests(now, 1);
+  }
+
+  @Test
+  void loadThatOneEntryHearsIsKnownToOthers() {
+    collector.onReport(HOST, new TargetReport(5, 2.5, true, 1_000));
+    collector.tick(true, 1_040);
+    sent.forEach(frame -> other.onTold(frame.getLoadReports(), 1_042));
+
+    assertThat(requests(collectorsTargets, 1_042)).isEqualTo(5);
+    assertThat(requests(othersTargets, 1_042)).isEqualTo(5);
+    assertThat(othersTargets.atHost(HOST).get(0).load().handicap(1_042)).isPositive();
+  }
+
+  // Requests go to a target that is full. Two entries pass on what they hear, and the older word
+  // arrives after the newer one.
+  @Test
+  void olderWordThatComesLaterChangesNothing() {
+    collector.onReport(HOST, new TargetReport(3, 1, true, 1_000));
+    collector.tick(true, 1_058);
+    other.onReport(HOST, new TargetReport(9, 1, true, 1_050));
+    sent.forEach(frame -> other.onTold(frame.getLoadReports(), 1_060));
+
+    assertThat(requests(othersTargets, 1_060)).isEqualTo(9);
+  }
+
+  @Test
+  void reportsOfOnePeriodGoTogetherAndOnce() {
+    collector.onReport(HOST, new TargetReport(3, 1, true, 1_000));
+    collector.tick(true, 1_000);
+    collector.onReport(HOST, new TargetReport(4, 1, true, 1_050));
+    collector.tick(true, 1_060);
+    collector.tick(true, 1_000 + LoadRelay.PERIOD_MILLIS);
+    collector.tick(true, 1_000 + 2 * LoadRelay.PERIOD_MILLIS);
+
+    assertThat(sent).hasSize(2);
+  }
+
+  @Test
+  void targetThatTakesNoRequestsIsToldSo() {
+    collector.onReport(HOST, new TargetReport(0, 1, false, 1_000));
+    collector.tick(true, 1_000);
+    sent.forEach(frame -> other.onTold(frame.getLoadReports(), 1_002));
+
+    assertThat(othersTargets.atHost(HOST).get(0).load().isClosed(1_002)).isTrue();
+  }
+
+  @Test
+  void entryThatDoesNotCollectTellsNothing() {
+    collector.onReport(HOST, new TargetReport(3, 1, true, 1_000));
+    collector.tick(false, 1_000);
+
+    assertThat(sent).isEmpty();
+  }
+}
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -37,6 +37,7 @@
   private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
   private static final Charset US = StandardCharsets.US_ASCII;
   private static final int PATIENCE_MILLIS = 60_000;
+  private static final long AIM_MILLIS = 500;
   private static final String OK = "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood";
 
   private final EventLoopGroup group =
@@ -79,7 +80,7 @@
                 () -> configuration,
                 targets,
                 new RetryBudgets(new RetryLimits(1, 10, 10_000)),
-                new StreamWatch(),
+                new ServiceWatch(),
                 () -> 1,
                 new NeverStops(),
                 new RequestMetrics(new PrometheusRegistry()),
@@ -97,7 +98,7 @@
         prefix,
         kind,
         PATIENCE_MILLIS,
-        0,
+        AIM_MILLIS,
         0,
         0,
         List.of(new Route.Destination("s", 1)),
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -26,10 +26,10 @@
 
   private static PeerMesh mesh(String name, String host, WireTransport transport, int port) {
     return new PeerMesh(
-        new PeerMesh.Self(name, host, port, host + ":1", () -> true, () -> false),
+        new PeerMesh.Self(name, host, port, host + ":1", 1, () -> true, () -> false),
         transport,
         List::of,
-        progress -> {});
+        new PeerMesh.Listener(progress -> false, loads -> {}));
   }
 
   private static int freePort() {
--- a/gateway/src/test/java/dev/ibishub/gateway/records/FakeKeyedLog.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/FakeKeyedLog.java
@@ -9,23 +9,24 @@
 import java.util.concurrent.CompletableFuture;
 
 /** A keyed log in memory that can be down, forget its history, or answer from a while ago. */
-final class FakeKeyedLog implements KeyedLog {
+public final class FakeKeyedLog implements KeyedLog {
   private final List<KeyedRecord> records = new ArrayList<>();
   private int firstKept;
   private int seen = Integer.MAX_VALUE;
   private boolean isDown;
   private int calls;
 
-  void put(String key, String value) {
-    records.add(
-        new KeyedRecord(records.size(), key, Optional.of(value.getBytes(StandardCharsets.UTF_8))));
+  /** Adds a record. */
+  public void put(String key, String value) {
+    add(key, value.getBytes(StandardCharsets.UTF_8));
   }
 
   void drop(String key) {
     records.add(new KeyedRecord(records.size(), key, Optional.empty()));
   }
 
-  void setDown(boolean down) {
+  /** Has every call fail from now on, or none. */
+  public void setDown(boolean down) {
     isDown = down;
   }
 
@@ -42,6 +43,10 @@
     return calls;
   }
 
+  private void add(String key, byte[] value) {
+    records.add(new KeyedRecord(records.size(), key, Optional.of(value)));
+  }
+
   private int end() {
     return Math.min(seen, records.size());
   }
@@ -76,6 +81,10 @@
   @Override
   public CompletableFuture<Void> append(String topic, String key, byte[] value) {
     calls++;
+    if (isDown) {
+      return CompletableFuture.failedFuture(new IllegalStateException("down"));
+    }
+    add(key, value);
     return CompletableFuture.completedFuture(null);
   }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -3,14 +3,16 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import dev.ibishub.core.serving.RetryLimits;
+import dev.ibishub.gateway.experts.DemandNotes;
 import dev.ibishub.gateway.experts.ExpertController;
+import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
 import dev.ibishub.gateway.front.RetryBudgets;
-import dev.ibishub.gateway.front.StreamWatch;
+import dev.ibishub.gateway.front.ServiceWatch;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.http.HttpCaller;
 import dev.ibishub.gateway.http.PageServer;
@@ -35,6 +37,7 @@
 import dev.ibishub.wire.Identity;
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.LoadReports;
 import dev.ibishub.wire.generated.RecordProgress;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -61,8 +64,14 @@
   /** Threads for connections; a VM has less than one core. */
   private static final int IO_THREADS = 2;
 
-  /** Time between two looks at what is due, milliseconds. */
-  private static final long TICK_MILLIS = 25;
+  /** Time between two looks at what is due, milliseconds, for an entry that leads or starts. */
+  private static final long BUSY_TICK_MILLIS = 25;
+
+  /** The same for others, whose shortest period is that of the loads that they pass on. */
+  private static final long TICK_MILLIS = 100;
+
+  /** How long an entry counts as starting, milliseconds: until links and lead are settled. */
+  private static final long STARTING_MILLIS = 4_000;
 
   /**
    * How the operator's configuration is followed: one entry keeps a read open that the store
@@ -96,10 +105,12 @@
   private final WireTransport transport;
   private final CallerServer server;
   private final ExpertController experts;
+  private final LoadRelay loads;
   private final RankLinks ranks;
   private final RankPaths paths;
   private final GracefulStop stop;
   private final RetryBudgets budgets;
+  private final long startedAt = MonotonicClock.millis();
   private volatile boolean isListening;
   private volatile boolean isAnnounced;
 
@@ -126,13 +137,16 @@
             targets,
             configuration::get,
             (target, order) -> paths().give(target, order),
-            InstantSource.system());
-    ranks = new RankLinks(transport, settings.linkPort(), targets, experts);
+            InstantSource.system(),
+            new DemandNotes(store, StoreClient.DEMAND_TOPIC));
+    loads = new LoadRelay(targets, mesh::broadcast);
+    ranks = new RankLinks(transport, settings.linkPort(), loads, experts);
     paths =
         new RankPaths(
             ranks,
             target -> new EngineClient(caller, target.host(), target.port()),
             targets,
+            loads,
             experts);
     server = newServer();
   }
@@ -149,11 +163,12 @@
             settings.host(),
             settings.linkPort(),
             settings.callerAddress().orElseThrow(),
+            System.currentTimeMillis(),
             this::isReady,
             stop::isLeaving),
         transport,
         () -> followers.stream().map(EntryNode::snapshot).flatMap(Optional::stream).toList(),
-        this::onProgress);
+        new PeerMesh.Listener(this::onProgress, this::onLoads));
   }
 
   private static RetryLimits retryLimits(NodeSettings settings) {
@@ -170,11 +185,11 @@
             configuration::get,
             targets,
             budgets,
-            new StreamWatch(),
+            new ServiceWatch(),
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
-            MonotonicClock.millis()));
+            startedAt));
   }
 
   /**
@@ -197,7 +212,7 @@
             .with("seeds", settings.seeds()));
     mesh.addHosts(settings.seeds().stream().map(Sockets::host).toList(), MonotonicClock.millis());
     transport.listen(settings.host(), settings.linkPort(), mesh).join();
-    ticker.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    ticker.execute(this::tick);
     server.listen(group, Sockets.address(settings.callerAddress().orElseThrow()));
     isListening = true;
     PageServer.listen(
@@ -249,23 +264,27 @@
   }
 
   private void tick() {
+    long now = MonotonicClock.millis();
     try {
-      long now = MonotonicClock.millis();
       mesh.tick(now);
       targets.tick(now);
       boolean leads = mesh.leads(now);
-      Set<String> engineHosts = engineHosts();
+      boolean collects = mesh.isFirst(LoadRelay.COLLECTORS, now);
+      Set<String> engineHosts = collects ? engineHosts() : Set.of();
       experts.tick(leads, now);
-      ranks.tick(engineHosts, leads, now);
+      ranks.tick(engineHosts, leads, experts::wantsPicks, now);
       if (leads) {
         paths.lookAround(engineHosts, now);
       }
+      loads.tick(collects, now);
       int turn = mesh.turn(now);
       followers.forEach(follower -> follower.tick(now, turn));
       announce();
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
+    boolean isBusy = now - startedAt < STARTING_MILLIS || mesh.leads(now);
+    ticker.schedule(this::tick, isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private RankPaths paths() {
@@ -319,11 +338,16 @@
             });
   }
 
-  private void onProgress(RecordProgress progress) {
-    followers.stream()
+  private boolean onProgress(RecordProgress progress) {
+    long now = MonotonicClock.millis();
+    return followers.stream()
         .filter(follower -> follower.topic().equals(progress.getTopic()))
-        .forEach(
-            follower -> follower.onHeard(RecordMessages.batch(progress), MonotonicClock.millis()));
+        .map(follower -> follower.onHeard(RecordMessages.batch(progress), now))
+        .reduce(false, Boolean::logicalOr);
+  }
+
+  private void onLoads(LoadReports reports) {
+    loads.onTold(reports, MonotonicClock.millis());
   }
 
   private void onConfigurationRecord(RecordChange change) {
