Let more requests wait at a target, have agents tell their state as soon as they are linked

Change: as many may wait as get a first piece in half of the time that callers wait for one, by the engine's figures; agents read and tell the state at once when an entry links. An entry's own word and what it passes on of others are one message. Ruled out: that refusing serves callers better: they come back once, late in any case.

--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -124,6 +124,8 @@
     if (known != null) {
       link.offer(RankMessages.report(known));
     }
+    // Entries that have just started place requests blindly until the first report comes.
+    onNews.run();
   }
 
   @Override
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -210,7 +210,7 @@
     double full =
         routed
             .engine()
-            .map(profile -> profile.slots() + profile.waitingInTime(routed.route().aimMillis()))
+            .map(profile -> profile.slots() + profile.waitingPlaces(routed.route().aimMillis()))
             .map(Integer::doubleValue)
             .orElse(Double.MAX_VALUE);
     TargetChoice choice = new TargetChoice(context.entries().getAsInt(), full);
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/BeatMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/BeatMessages.java
@@ -17,13 +17,7 @@
    * @param now the sender's time, milliseconds
    */
   static Frame frame(EntryFacts own, Map<EntryFacts, Long> heard, long now) {
-    EntryBeat.Builder beat =
-        EntryBeat.newBuilder()
-            .setHost(own.host())
-            .setCallerAddress(own.callerAddress())
-            .setStartedAt(own.startedAt())
-            .setReady(own.isReady())
-            .setLeaving(own.isLeaving());
+    EntryBeat.Builder beat = EntryBeat.newBuilder().setSelf(word(own, 0));
     heard.forEach((facts, heardAt) -> beat.addHeard(word(facts, now - heardAt)));
     return Frame.newBuilder().setEntryBeat(beat).build();
   }
@@ -39,15 +33,6 @@
         .build();
   }
 
-  static EntryFacts facts(EntryBeat beat) {
-    return new EntryFacts(
-        beat.getHost(),
-        beat.getCallerAddress(),
-        beat.getStartedAt(),
-        beat.getReady(),
-        beat.getLeaving());
-  }
-
   static EntryFacts facts(EntryWord word) {
     return new EntryFacts(
         word.getHost(),
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -258,8 +258,8 @@
 
   private synchronized void onBeat(Link link, EntryBeat beat) {
     long now = MonotonicClock.millis();
-    links.computeIfAbsent(link, any -> new Known()).host = beat.getHost();
-    roster.onHeard(BeatMessages.facts(beat), now);
+    links.computeIfAbsent(link, any -> new Known()).host = beat.getSelf().getHost();
+    roster.onHeard(BeatMessages.facts(beat.getSelf()), now);
     beat.getHeardList()
         .forEach(word -> roster.onTold(BeatMessages.facts(word), now - word.getAgeMillis(), now));
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
@@ -42,6 +42,13 @@
   /** Skew of a map that is as even as maps become with few places a rank. */
   private static final double EVEN_SKEW = 1.2;
 
+  /**
+   * Callers leave a stream without a first piece after the longer of this and some aims. Millis.
+   */
+  private static final double LEAST_PATIENCE_MILLIS = 2_000;
+
+  private static final double PATIENCE_AIMS = 4;
+
   /** Skew from which a map is made where the engines' times are not stated. */
   private static final double UNSTATED_START_SKEW = 1.6;
 
@@ -94,13 +101,16 @@
   }
 
   /**
-   * Returns how many requests may wait at an engine beyond its slots so that the last of them still
-   * gets its first piece in time; 1 at least, as slots would stand empty between two reports.
+   * Returns how many requests may wait at an engine beyond its slots: so many that the last of them
+   * gets its first piece in half of the time that callers wait for one. It is late then, which is
+   * worth half of an answer in time; a caller who is refused comes back once, is late as well, and
+   * may be refused again. At least 1, as slots would stand empty between two reports.
    *
    * @param aimMillis the time within which a first piece is wanted, milliseconds; 0 for none
    */
-  public int waitingInTime(long aimMillis) {
-    double rest = aimMillis - passMillis(EVEN_SKEW);
+  public int waitingPlaces(long aimMillis) {
+    double patience = Math.max(LEAST_PATIENCE_MILLIS, aimMillis * PATIENCE_AIMS);
+    double rest = patience / 2 - passMillis(EVEN_SKEW);
     return Math.max(1, (int) (rest / Math.max(1, slotFreesMillis())));
   }
 
