--- a/gateway/src/main/java/dev/ibishub/gateway/experts/LoadRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/LoadRelay.java
@@ -17,7 +17,7 @@
  *
  * <p>With links from each entry to each agent, 72 agents and 42 entries would exchange some 30,000
  * messages a second under load; through two entries that pass on what they heard, together, each
- * {@link #PERIOD_MILLIS}, they exchange some 2,300. Loads are then up to that much older.
+ * {@link #PERIOD_MILLIS}, they exchange some 1,500. Loads are then up to that much older.
  */
 public final class LoadRelay {
   /**
@@ -26,7 +26,7 @@
    */
   public static final int COLLECTORS = 2;
 
-  /** Time between two messages to the other entries, milliseconds; agents report as often. */
+  /** Time between two messages to the other entries, milliseconds; half of the agents' period. */
   static final long PERIOD_MILLIS = 100;
 
   private final TargetDirectory targets;
