Ask for an entry's place once a tick, drop a query that nothing calls

Found while the whole change was read again: an entry worked out its place among all others four to five times a tick, each over the whole fleet; who leads is first among the collectors anyway, so one condition is enough. EntryRoster.isAlive had no caller. A comment was torn by the formatter. Behaviour as before.

--- a/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
@@ -29,7 +29,7 @@
    */
   public static final int RELAYS = 4;
 
-  /** An entry that was silent for longer than this is taken for gone; 4 heartbeats. Millis. */
+  /** An entry silent for longer than this, four heartbeats, is taken for gone. Milliseconds. */
   public static final long ALIVE_MILLIS = 900;
 
   /**
@@ -168,12 +168,6 @@
     return (int) living(now).count();
   }
 
-  /** Whether another entry is alive. */
-  public boolean isAlive(String host, long now) {
-    Known known = byHost.get(host);
-    return known != null && isLiving(known, now);
-  }
-
   /** Returns how many others that stay come before this entry in order. */
   public int turn(long now) {
     Known own = new Known(ownHost);
--- a/core/src/main/java/dev/ibishub/core/ranks/SetPlan.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/SetPlan.java
@@ -83,10 +83,9 @@
 
   /** Finds the change that helps most; its gain is 0 when none does. */
   Change best(int heavyRanks) {
-    // What other sets fetch counts against the same limit of a rank. As that only rules changes
-    // out,
-    // the best one stays the best while it is possible; looking for it anew after each fetch of any
-    // set takes ten times as long at 12 sets.
+    // What other sets fetch counts against the same limit of a rank. That only rules changes out,
+    // so the best one stays the best while it is possible; looking for it anew after each fetch of
+    // any set takes several times as long at 12 sets.
     if (best == null || !isPossible(best)) {
       best = find(heavyRanks);
     }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -263,27 +263,28 @@
 
   private void tick() {
     long now = MonotonicClock.millis();
+    boolean leads = false;
     try {
       mesh.tick(now);
       targets.tick(now);
-      boolean leads = mesh.leads(now);
+      leads = mesh.leads(now);
+      int turn = mesh.turn(now);
       boolean collects = mesh.isFirst(LoadRelay.COLLECTORS, now);
       Set<String> engineHosts = collects ? engineHosts() : Set.of();
       experts.tick(leads, now);
       // Whoever will lead as soon as it may has the maps and counts by then.
-      boolean watches = leads || (collects && mesh.turn(now) == 0);
+      boolean watches = collects && turn == 0;
       ranks.tick(engineHosts, watches, experts::wantsPicks, now);
       if (leads) {
         paths.lookAround(engineHosts, now);
       }
       loads.tick(collects, now);
-      int turn = mesh.turn(now);
       followers.forEach(follower -> follower.tick(now, turn));
       announce();
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
-    boolean isBusy = now - startedAt < STARTING_MILLIS || mesh.leads(now);
+    boolean isBusy = leads || now - startedAt < STARTING_MILLIS;
     ticker.schedule(this::tick, isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
