--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -86,13 +86,16 @@
       return;
     }
     GroupLead known = groups.get(place.group());
-    if (known == null || known.size() != place.size()) {
+    long longestPauseMillis = longestPauseMillis(target.get().service());
+    // A group that was found under an older configuration would be led by what that said of its
+    // engines: with fewer experts than there are, its counts fit no demand and no map is ever made.
+    if (known == null || !known.isFor(place.size(), profile.get(), longestPauseMillis)) {
       known =
           new GroupLead(
               place.group(),
               place.size(),
               profile.get(),
-              longestPauseMillis(target.get().service()),
+              longestPauseMillis,
               orders,
               tokens,
               clock,
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -95,8 +95,9 @@
     this.demand = new ExpertDemand(profile.layers(), profile.experts(), WINDOW_MILLIS);
   }
 
-  int size() {
-    return size;
+  /** Whether the group is led by these figures. */
+  boolean isFor(int ranks, EngineProfile engine, long pauseMillis) {
+    return size == ranks && profile.equals(engine) && longestPauseMillis == pauseMillis;
   }
 
   void onPlace(Target target, double pace, RankState.Membership place, long now) {
--- a/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
@@ -25,23 +25,24 @@
 
   private static final int RANKS = 2;
 
+  private ServingConfiguration configuration = configuration(ENGINE);
   private final TargetDirectory targets = new TargetDirectory("z");
   private final List<RankOrder> orders = new ArrayList<>();
   private final ExpertController controller =
       new ExpertController(
           targets,
-          () -> Optional.of(configuration()),
+          () -> Optional.of(configuration),
           (target, order) -> {
             orders.add(order);
             return CompletableFuture.completedFuture(RankOrder.Result.DONE);
           },
           InstantSource.system());
 
-  private static ServingConfiguration configuration() {
+  private static ServingConfiguration configuration(EngineProfile engine) {
     return ServingConfiguration.of(
         1,
         List.of(),
-        Map.of("models", new Service("models", Optional.of(ENGINE))),
+        Map.of("models", new Service("models", Optional.of(engine))),
         Map.of(),
         false,
         CallerLimits.DEFAULTS);
@@ -118,4 +119,24 @@
 
     assertThat(orders).isEmpty();
   }
+
+  // Streams stutter until the leader changes. It found the group while an older configuration said
+  // of the engines that they have one expert, went on by that when the right figures came, and
+  // threw every rank's counts away as of another shape.
+  @Test
+  void newFiguresOfTheEnginesAreUsedForAGroupThatIsKnown() {
+    configuration =
+        configuration(
+            new EngineProfile(8, 5, 2, 6, 150, 800, 75, 1, 1, 3, 2, 100, 100_000, 0.85, 600));
+    controller.tick(true, 0);
+    hearStates(20);
+    configuration = configuration(ENGINE);
+    hearMaps();
+    hearStates(50);
+    hearUnevenPicks();
+    hearStates(650);
+    controller.tick(true, 700);
+
+    assertThat(orders).isNotEmpty();
+  }
 }
