--- a/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/MapSwitch.java
@@ -31,16 +31,6 @@
   /** A report older than this says nothing about now. Milliseconds. */
   static final long FRESH_MILLIS = 600;
 
-  /**
-   * All ranks have to have been heard within this before a step is held, milliseconds. Each is
-   * looked at every 150 at the latest while a map is prepared.
-   *
-   * <p>Guards against a group that is held for as long as one VM is paused: a rank that can't be
-   * reached can neither be armed nor be known to be unarmed, so the step may not begin. A rank that
-   * was paused before the hold is not heard any more, and the map then waits instead of the group.
-   */
-  static final long HEARD_MILLIS = 200;
-
   /** How long one command may stay unanswered before it is given again, milliseconds. */
   static final long REPEAT_MILLIS = 70;
 
@@ -240,7 +230,7 @@
       RankView view = views.get(rank);
       confirmed[rank] = view != null && view.preparedVersion() == version;
     }
-    if (allConfirmed() && areAllHeard(now)) {
+    if (allConfirmed()) {
       step = nextStep();
       holder = (holder + 1) % ranks;
       enter(Phase.HOLDING, now);
@@ -498,10 +488,6 @@
             .allMatch(view -> view.isOpen() && now - view.at() <= FRESH_MILLIS);
   }
 
-  private boolean areAllHeard(long now) {
-    return views.values().stream().allMatch(view -> now - view.at() <= HEARD_MILLIS);
-  }
-
   private boolean allConfirmed() {
     return IntStream.range(0, ranks).allMatch(rank -> confirmed[rank]);
   }
