--- a/core/src/main/java/dev/ibishub/core/ranks/ChangeSearch.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/ChangeSearch.java
@@ -31,9 +31,15 @@
   private final SetLayout layout;
   private final int newPerSet;
   private final IntPredicate mayFetchMore;
+
+  /** The rank that is to be relieved, and how long it takes. */
   private int slow;
+
   private double slowestNow;
+
+  /** The fastest rank that could take an expert which another sends on, or none. */
   private int roomy;
+
   private double bestScore;
   private Optional<LayoutChange> best = Optional.empty();
 
@@ -112,8 +118,7 @@
     double copied = layout.share(expert, layout.copies(expert) + 1);
     double hereIfMoved = slowestNow - moved * layout.slowness(slow);
     double hereIfCopied = slowestNow - (moved - copied) * layout.slowness(slow);
-    // A rank with places left keeps what it has: a second copy also serves a demand that shifts
-    // back.
+    // A rank with places left keeps what it has, which also serves a demand that shifts back.
     if (!layout.hasFreePlace(slow)) {
       tryRoom(new Relocation(expert, slow, to), hereIfMoved, moved);
     }
--- a/core/src/main/java/dev/ibishub/core/ranks/PlacementPlanner.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/PlacementPlanner.java
@@ -63,7 +63,7 @@
     return choices(stages(search, skewNow, limits), economy, skewNow)
         .max(Comparator.comparingDouble(Choice::gainMillis))
         .filter(choice -> choice.gainMillis() > 0)
-        .map(choice -> plan(choice, skewNow));
+        .map(choice -> planOf(choice, skewNow));
   }
 
   /** The maps for one fetch a rank, two, four and so on, each more even than the one before. */
@@ -111,7 +111,7 @@
     return new Choice(first, economy.gain(first.step(), second.step(), skewNow));
   }
 
-  private static Plan plan(Choice choice, double skewNow) {
+  private static Plan planOf(Choice choice, double skewNow) {
     Stage stage = choice.stage();
     return new Plan(
         stage.map(),
