--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -275,4 +275,16 @@
 
     assertThat(page("entry-1").statusCode()).isEqualTo(200);
   }
+
+  // Callers who are sent to one entry get no answer, and nothing starts it anew. Its port was
+  // taken;
+  // the main thread ended with that, and the others kept the process alive.
+  @Test
+  void entryWhosePortIsTakenEnds() throws IOException, InterruptedException {
+    deployment.startEntry("entry-3", "127.0.1.1", "127.0.1.1");
+
+    deployment.await("entry ended", () -> !deployment.process("entry-3").isAlive());
+    assertThat(deployment.process("entry-3").exitValue()).isNotZero();
+    assertThat(deployment.logOf("entry-3")).contains("start.failed");
+  }
 }
