Take a switch for at most half of the time that demand stands

Cause: found on reading the diff.

Change: MapEconomy bounds it. Test: switchThatWasHeldOnceDoesNotEndAllMaps, seen to fail without the bound.

--- a/core/src/main/java/dev/ibishub/core/ranks/MapEconomy.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/MapEconomy.java
@@ -20,6 +20,15 @@
     double copyingSlowdown,
     double demandMillis) {
 
+  /**
+   * Takes a switch for at most half of what the demand stands. A group that was held for seconds
+   * once would otherwise get no map any more: each would seem to come too late, and without a new
+   * one no shorter switch is ever seen.
+   */
+  public MapEconomy {
+    switchMillis = Math.min(switchMillis, demandMillis / 2);
+  }
+
   /**
    * Returns what a map gains in the end.
    *
--- a/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
@@ -88,6 +88,16 @@
     }
   }
 
+  // Every answer is late until the leader changes. One switch was held for eight seconds by a
+  // paused
+  // VM; the leader took that for what a switch lasts, so no map seemed to come in time any more.
+  @Test
+  void switchThatWasHeldOnceDoesNotEndAllMaps() {
+    MapEconomy afterAHold = new MapEconomy(skew -> 40 + 60 * skew, 50, 8_000, 0.15, 5_000);
+
+    assertThat(PlacementPlanner.plan(inTurn(), demand(1), EVEN, LIMITS, afterAHold)).isPresent();
+  }
+
   // Ranks copy without end and all passes are longer for it. Demand shifted before each new map was
   // there, so none of them ever fitted.
   @Test
