Look for a set's slowest rank once a change; say once when engines state their times

The search for the most uneven set went over all ranks of all sets for each comparison, changed or not.

--- a/core/src/main/java/dev/ibishub/core/ranks/SetLayout.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/SetLayout.java
@@ -33,6 +33,9 @@
   /** The ranks in the order of their times, as of the last sorting. */
   private final int[] order;
 
+  /** The slowest rank, or {@link #NONE} where it has to be looked for. */
+  private int slowest = NONE;
+
   /**
    * Creates the layout of a set as it is.
    *
@@ -153,12 +156,12 @@
     return order[place];
   }
 
-  /** Returns the rank whose part takes longest. */
+  /** Returns the rank whose part takes longest; looked for once after each change. */
   int slowestRank() {
-    int slowest = 0;
-    for (int rank = 1; rank < time.length; rank++) {
-      if (time[rank] > time[slowest]) {
-        slowest = rank;
+    if (slowest == NONE) {
+      slowest = 0;
+      for (int rank = 1; rank < time.length; rank++) {
+        slowest = time[rank] > time[slowest] ? rank : slowest;
       }
     }
     return slowest;
@@ -208,9 +211,10 @@
     double tokens = 0;
     for (int place = 0; place < held[rank]; place++) {
       int expert = expertsOf[rank][place];
-      tokens += demand[expert] / copies[expert];
+      tokens += share(expert, copies[expert]);
     }
     time[rank] = tokens * slowness[rank];
+    slowest = NONE;
   }
 
   private static int mostHeld(int[][] experts) {
--- a/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
@@ -88,7 +88,7 @@
    * as the most loaded ranks are busy with tokens.
    */
   public double passLength(double skew) {
-    return tokenMillis() <= 0 || expertShare <= 0 ? skew : passMillis(skew);
+    return statesTimes() ? passMillis(skew) : skew;
   }
 
   /**
@@ -99,7 +99,7 @@
    * @param longestPauseMillis the longest pause wanted between two pieces of a stream
    */
   public double startSkew(long longestPauseMillis) {
-    if (tokenMillis() <= 0 || expertShare <= 0) {
+    if (!statesTimes()) {
       return UNSTATED_START_SKEW;
     }
     double rest = (longestPauseMillis - stepsPerPass * stepMillis) / tokenMillis();
@@ -132,6 +132,11 @@
     return (long) (FORMING_TOLERANCE * formMillis);
   }
 
+  /** Whether the engines' figures tell how long passes become with the skew. */
+  private boolean statesTimes() {
+    return tokenMillis() > 0 && expertShare > 0;
+  }
+
   private double tokenMillis() {
     double read = readTokensPerMilli <= 0 ? 0 : usualPromptTokens / readTokensPerMilli;
     return stepsPerPass * requestMillis * slots + read;
