--- a/bench/src/main/java/dev/ibishub/bench/experts/PlacementBench.java
+++ b/bench/src/main/java/dev/ibishub/bench/experts/PlacementBench.java
@@ -43,12 +43,7 @@
     }
 
     GroupMap inTurn() {
-      int[][] set =
-          IntStream.range(0, ranks)
-              .mapToObj(
-                  rank -> IntStream.range(0, experts).filter(e -> e % ranks == rank).toArray())
-              .toArray(int[][]::new);
-      return GroupMap.of(IntStream.range(0, sets).mapToObj(i -> set).toArray(int[][][]::new));
+      return GroupMap.inTurn(ranks, sets, experts);
     }
   }
 
--- a/core/src/main/java/dev/ibishub/core/ranks/GroupMap.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/GroupMap.java
@@ -23,6 +23,20 @@
     return new GroupMap(copy(experts));
   }
 
+  /**
+   * Creates the map of a group that has just formed: in each set the experts go to the ranks in
+   * turn, one copy each.
+   *
+   * @param experts how many experts each set has
+   */
+  public static GroupMap inTurn(int ranks, int sets, int experts) {
+    int[][] set =
+        IntStream.range(0, ranks)
+            .mapToObj(rank -> IntStream.iterate(rank, e -> e < experts, e -> e + ranks).toArray())
+            .toArray(int[][]::new);
+    return GroupMap.of(IntStream.range(0, sets).mapToObj(any -> set).toArray(int[][][]::new));
+  }
+
   public int sets() {
     return experts.length;
   }
--- a/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/PlacementPlannerTest.java
@@ -22,11 +22,7 @@
       new MapEconomy(skew -> 40 + 60 * skew, 5, 100, 0.15, 5_000);
 
   private static GroupMap inTurn() {
-    int[][] set =
-        IntStream.range(0, RANKS)
-            .mapToObj(rank -> IntStream.range(0, EXPERTS).filter(e -> e % RANKS == rank).toArray())
-            .toArray(int[][]::new);
-    return GroupMap.of(IntStream.range(0, SETS).mapToObj(i -> set).toArray(int[][][]::new));
+    return GroupMap.inTurn(RANKS, SETS, EXPERTS);
   }
 
   /** A few experts get most tokens, as with a handful of subjects in demand. */
@@ -124,11 +120,7 @@
                         .mapToDouble(e -> Math.pow(1 + random.nextInt(2 * ranks), -0.44))
                         .toArray())
             .toArray(double[][]::new);
-    int[][] set =
-        IntStream.range(0, ranks)
-            .mapToObj(rank -> new int[] {rank, ranks + rank})
-            .toArray(int[][]::new);
-    GroupMap map = GroupMap.of(new int[][][] {set, set});
+    GroupMap map = GroupMap.inTurn(ranks, demand.length, 2 * ranks);
     PlacementLimits limits = new PlacementLimits(3, 2, 4, 1.05);
     for (int round = 0; round < 3; round++) {
       map =
--- a/core/src/test/java/dev/ibishub/core/ranks/PlacementPropertyTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/PlacementPropertyTest.java
@@ -124,12 +124,7 @@
       int ranks, int sets, int expertsPerRank, int sparePlaces, int newPerSet, long draws) {
     Random random = new Random(draws);
     int experts = Math.max(1, ranks * expertsPerRank - random.nextInt(2));
-    int[][] inTurn =
-        IntStream.range(0, ranks)
-            .mapToObj(rank -> IntStream.range(0, experts).filter(e -> e % ranks == rank).toArray())
-            .toArray(int[][]::new);
-    GroupMap map =
-        GroupMap.of(IntStream.range(0, sets).mapToObj(set -> inTurn).toArray(int[][][]::new));
+    GroupMap map = GroupMap.inTurn(ranks, sets, experts);
     PlacementLimits limits =
         new PlacementLimits(
             expertsPerRank + sparePlaces, newPerSet, newPerSet * sets, 1 + random.nextInt(3) * 0.1);
