End any program that can't start, through one guard

Startup.orEnd serves all three. Tests: StartupTest plays a program whose thread goes on; NodeEndToEndTest.entryWhosePortIsTakenEnds is unchanged.

--- a/agent/src/main/java/dev/ibishub/agent/AgentMain.java
+++ b/agent/src/main/java/dev/ibishub/agent/AgentMain.java
@@ -2,6 +2,7 @@
 
 import dev.ibishub.runtime.CommandLine;
 import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.runtime.Startup;
 import dev.ibishub.runtime.StopSignals;
 import dev.ibishub.settings.AgentSettings;
 import dev.ibishub.settings.LogFormat;
@@ -23,7 +24,7 @@
     AgentSettings settings = readOrExit(file);
     LogSetup.configure(
         settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.targetId());
-    Agent agent = Agent.start(settings);
+    Agent agent = Startup.orEnd(() -> Agent.start(settings));
     StopSignals.onStop(
         () -> {
           agent.drain();
--- a/entry/src/main/java/dev/ibishub/entry/EntryMain.java
+++ b/entry/src/main/java/dev/ibishub/entry/EntryMain.java
@@ -2,6 +2,7 @@
 
 import dev.ibishub.runtime.CommandLine;
 import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.runtime.Startup;
 import dev.ibishub.runtime.StopSignals;
 import dev.ibishub.settings.EntrySettings;
 import dev.ibishub.settings.LogFormat;
@@ -27,7 +28,7 @@
     LogSetup.configure(
         settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.processId());
     configureHttpServer(settings);
-    Entry entry = Entry.start(settings);
+    Entry entry = Startup.orEnd(() -> Entry.start(settings));
     StopSignals.onStop(
         () -> {
           entry.drain();
--- a/node/src/main/java/dev/ibishub/node/NodeMain.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMain.java
@@ -1,23 +1,18 @@
 package dev.ibishub.node;
 
-import com.google.common.flogger.FluentLogger;
 import dev.ibishub.platform.SettingsLocation;
 import dev.ibishub.runtime.CommandLine;
-import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.LogSetup;
+import dev.ibishub.runtime.Startup;
 import dev.ibishub.settings.NodeSettings;
 import dev.ibishub.settings.SettingsException;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.concurrent.Executors;
 
 /** Command line of {@code ibishub-node}. */
 public final class NodeMain {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
-  /** Exit status of a process that could not start. */
-  private static final int START_FAILED = 1;
-
   private NodeMain() {}
 
   /**
@@ -33,15 +28,7 @@
     Path file = given.isPresent() ? given.get() : fileOnCommandLine(arguments);
     NodeSettings settings = readOrExit(file);
     LogSetup.configureQueued(settings.processId());
-    try {
-      start(settings, file);
-    } catch (Exception e) {
-      // Netty throws a port that is taken as a checked exception that it doesn't declare. Other
-      // threads run on by then: the process would live, be heard by others and serve nobody, and
-      // the platform starts anew only what has ended.
-      logger.atSevere().withCause(e).log("%s", LogEvent.of("start.failed"));
-      System.exit(START_FAILED);
-    }
+    Startup.orEnd(Executors.callable(() -> start(settings, file)));
   }
 
   private static void start(NodeSettings settings, Path file) {
--- /dev/null
+++ b/runtime/src/test/java/dev/ibishub/runtime/StartupTest.java
@@ -0,0 +1,61 @@
+package dev.ibishub.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+final class StartupTest {
+  /** A program with a thread that never ends and a start that fails. */
+  static final class FailingProgram {
+    public static void main(String[] arguments) {
+      new Thread(FailingProgram::waitForever).start();
+      Callable<Object> start =
+          () -> {
+            throw new BindException("Address already in use");
+          };
+      Startup.orEnd(start);
+    }
+
+    private static void waitForever() {
+      try {
+        new CountDownLatch(1).await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  // A target gets no requests until somebody ends its agent by hand. The agent's port was taken;
+  // its
+  // main thread ended with that, and the others kept the process alive.
+  @Test
+  void processThatCannotStartEndsThoughItsThreadsGoOn() throws IOException, InterruptedException {
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                FailingProgram.class.getName())
+            .redirectErrorStream(true)
+            .start();
+    try {
+      String log = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+      assertThat(process.waitFor()).isEqualTo(1);
+      assertThat(log).contains("start.failed").contains("Address already in use");
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
+  @Test
+  void returnsWhatWasStarted() {
+    assertThat(Startup.orEnd(() -> "an entry")).isEqualTo("an entry");
+  }
+}
