--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankMessages.java
@@ -78,7 +78,8 @@
 
   static RankEngine.Picks picks(RankPicks message) {
     return new RankEngine.Picks(
-        message.getEpoch(), message.getCountsList().stream().mapToLong(Long::longValue).toArray());
+        message.getEpoch(),
+        IntStream.range(0, message.getCountsCount()).mapToLong(message::getCounts).toArray());
   }
 
   static Frame map(RankEngine.HeldMap map) {
@@ -167,6 +168,6 @@
   }
 
   private static int[] array(ExpertList list) {
-    return list.getExpertsList().stream().mapToInt(Integer::intValue).toArray();
+    return IntStream.range(0, list.getExpertsCount()).map(list::getExperts).toArray();
   }
 }
