Look at an engine often only until an order's effect shows

Cause: agents looked each 45 ms for 0.6 s after any order, so for most of a switch, and the grown site has a map each second or two. Change: they do so until the copy is done or the map is in use, at most as long as before.

--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -7,6 +7,7 @@
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.RankOrderCall;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -29,17 +30,16 @@
   private static final long PLAIN_REPORT_MILLIS = 200;
 
   /**
-   * How long after an order the engine is looked at more often, milliseconds. Copying for a map and
-   * switching to it take some 500; a leader waits for each word then. At other times a reading for
-   * each plain report does.
+   * How long the effect of an order is looked for at most, milliseconds. Copying for a map takes
+   * some 500; an order that was not carried out by then may never be.
    */
-  private static final long ORDERED_MILLIS = 600;
+  private static final long AWAITED_MILLIS = 600;
 
   /**
-   * Time between two looks at the engine then, milliseconds; passes take 45 and more, so hardly one
-   * is missed.
+   * Time between two looks at the engine while the effect of an order is awaited, milliseconds; a
+   * leader waits for each word then, and passes take 45 and more.
    */
-  private static final long ORDERED_LOOK_MILLIS = 45;
+  private static final long AWAITING_LOOK_MILLIS = 45;
 
   /** Time between two readings of what the engine's requests chose, milliseconds. */
   private static final long PICKS_MILLIS = PLAIN_REPORT_MILLIS;
@@ -55,7 +55,7 @@
   private final AtomicBoolean isReadingPicks = new AtomicBoolean();
   private volatile RankState lastState;
   private volatile long lastPicksAt;
-  private volatile long orderedAt = Long.MIN_VALUE / 2;
+  private volatile Optional<AwaitedEffect> awaited = Optional.empty();
   private volatile long lastPlainReportAt;
   private volatile long reportedMapVersion = -1;
   private volatile long reportedMapEpoch = -1;
@@ -63,6 +63,21 @@
 
   private record Watcher(Link link, long until, boolean wantsPicks) {}
 
+  /** What an order brings about, as the engine's state will show it. */
+  private record AwaitedEffect(RankOrder order, long until) {
+    boolean isSeenIn(RankState state) {
+      return state.membership().map(this::isSeenIn).orElse(true);
+    }
+
+    private boolean isSeenIn(RankState.Membership place) {
+      return switch (order.kind()) {
+        case PREPARE -> place.preparedVersion() == order.version();
+        case ARM -> place.mapVersion() == order.version();
+        case DISARM, HOLD, RELEASE -> true;
+      };
+    }
+  }
+
   /**
    * Creates an agent that nobody is linked to.
    *
@@ -85,8 +100,9 @@
 
   /** Returns when {@link #look} is to be called again, milliseconds from now. */
   public long untilNextLookMillis() {
-    boolean isOrdered = MonotonicClock.millis() - orderedAt <= ORDERED_MILLIS;
-    return isOrdered ? ORDERED_LOOK_MILLIS : PLAIN_REPORT_MILLIS;
+    long now = MonotonicClock.millis();
+    boolean isAwaiting = awaited.map(effect -> now <= effect.until()).orElse(false);
+    return isAwaiting ? AWAITING_LOOK_MILLIS : PLAIN_REPORT_MILLIS;
   }
 
   private void readState() {
@@ -156,13 +172,16 @@
   }
 
   private void onOrder(Link link, RankOrderCall call) {
-    orderedAt = MonotonicClock.millis();
     RankOrder order = RankMessages.order(call);
     engine
         .order(order)
         .thenAccept(
             result -> {
               link.offer(RankMessages.reply(call.getCallId(), result));
+              if (result == RankOrder.Result.DONE || result == RankOrder.Result.UNKNOWN) {
+                awaited =
+                    Optional.of(new AwaitedEffect(order, MonotonicClock.millis() + AWAITED_MILLIS));
+              }
               onNews.run();
             });
   }
@@ -180,6 +199,9 @@
       isReachable = true;
       logger.atInfo().log("%s", LogEvent.of("engine.back"));
     }
+    if (awaited.map(effect -> effect.isSeenIn(state)).orElse(false)) {
+      awaited = Optional.empty();
+    }
     tell(state, MonotonicClock.millis());
     readMapIfNew();
   }
