--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -60,8 +60,10 @@
 final class EntryNode {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Threads for connections; a VM has less than one core. */
-  private static final int IO_THREADS = 2;
+  /**
+   * Threads for connections; a VM has about one core, so a second would only be one more to wake.
+   */
+  private static final int IO_THREADS = 1;
 
   /** Time between two looks at what is due, milliseconds, for an entry that leads or starts. */
   private static final long BUSY_TICK_MILLIS = 25;
