Tell each load once, from the collector whose turn comes first

Cause: both collectors told all entries the same reports, so each entry took 20 messages of 36 loads a second in and was woken for them. Change: a collector leaves out what the other has told since and says nothing else. A lost collector costs nothing, as the other one then tells all.

--- a/gateway/src/main/java/dev/ibishub/gateway/experts/LoadRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/LoadRelay.java
@@ -29,6 +29,12 @@
   /** Time between two messages to the other entries, milliseconds; half of the agents' period. */
   static final long PERIOD_MILLIS = 100;
 
+  /**
+   * What another collector told of a target is as good as an own report that is newer by no more
+   * than this, milliseconds; agents report to both at the same moment.
+   */
+  static final long AS_GOOD_MILLIS = 50;
+
   private final TargetDirectory targets;
   private final Consumer<Frame> broadcast;
   private final Map<String, TargetReport> untold = new HashMap<>();
@@ -53,10 +59,25 @@
     }
   }
 
-  /** Takes in what another entry heard. */
+  /**
+   * Takes in what another entry heard. As it told all entries, this one leaves that out: each hears
+   * of a report once, from the collector whose turn came first.
+   */
   public void onTold(LoadReports told, long now) {
-    told.getReportsList()
-        .forEach(message -> targets.onReport(message.getHost(), report(message, now)));
+    told.getReportsList().forEach(message -> onTold(message.getHost(), report(message, now)));
+  }
+
+  private void onTold(String host, TargetReport told) {
+    targets.onReport(host, told);
+    synchronized (this) {
+      untold.computeIfPresent(host, (any, own) -> isAsGood(told, own) ? null : own);
+    }
+  }
+
+  private static boolean isAsGood(TargetReport told, TargetReport own) {
+    return told.measuredAt() >= own.measuredAt() - AS_GOOD_MILLIS
+        && told.isOpen() == own.isOpen()
+        && told.group().equals(own.group());
   }
 
   /**
--- a/gateway/src/test/java/dev/ibishub/gateway/experts/LoadRelayTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/LoadRelayTest.java
@@ -82,4 +82,32 @@
 
     assertThat(sent).isEmpty();
   }
+
+  @Test
+  void reportThatTheOtherCollectorToldIsNotToldAgain() {
+    collector.onReport(HOST, new TargetReport(3, 1, true, 1_000));
+    collector.tick(true, 1_010);
+    List<Frame> second = new ArrayList<>();
+    LoadRelay late = new LoadRelay(othersTargets, second::add);
+    late.onReport(HOST, new TargetReport(3, 1, true, 1_001));
+    sent.forEach(frame -> late.onTold(frame.getLoadReports(), 1_012));
+    late.tick(true, 1_020);
+
+    assertThat(second).isEmpty();
+  }
+
+  // Guards against entries that go on refusing requests because a collector kept to itself that the
+  // group has opened.
+  @Test
+  void reportThatSaysOtherwiseThanWhatWasToldIsTold() {
+    collector.onReport(HOST, new TargetReport(0, 1, false, 1_000));
+    collector.tick(true, 1_010);
+    List<Frame> second = new ArrayList<>();
+    LoadRelay late = new LoadRelay(othersTargets, second::add);
+    late.onReport(HOST, new TargetReport(0, 1, true, 1_005));
+    sent.forEach(frame -> late.onTold(frame.getLoadReports(), 1_012));
+    late.tick(true, 1_020);
+
+    assertThat(second).hasSize(1);
+  }
 }
