--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -19,8 +19,8 @@
 public final class RankAgent implements LinkListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** How long a leader's wish for picks holds, milliseconds. */
-  static final long WATCH_MILLIS = 1_500;
+  /** How long a leader's word that it watches holds, milliseconds. */
+  static final long WATCH_MILLIS = 3_000;
 
   /**
    * Time between two reports of the load, milliseconds. A target of today's deployments gets some
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -30,8 +30,8 @@
   /** Time between two tries to reach an agent, milliseconds. */
   private static final long DIAL_MILLIS = 500;
 
-  /** Time between two words of the leader that it wants picks, milliseconds. */
-  private static final long WATCH_MILLIS = 400;
+  /** Time between two words of the leader that it watches, milliseconds. */
+  private static final long WATCH_MILLIS = RankAgent.WATCH_MILLIS / 3;
 
   /** How long an agent's answer to an order is waited for, milliseconds. */
   private static final long REPLY_MILLIS = 160;
@@ -59,6 +59,7 @@
   private static final class Agent {
     private Link link;
     private boolean isDialing;
+    private boolean isAskedForPicks;
     private long nextDialAt;
   }
 
@@ -87,9 +88,10 @@
       Set<String> wanted, boolean watches, Predicate<String> picks, long now) {
     agents.entrySet().removeIf(agent -> closeIfUnwanted(agent.getKey(), agent.getValue(), wanted));
     wanted.forEach(host -> dialIfMissing(host, now));
-    if (watches && (now >= nextWatchAt || !wasWatching)) {
-      nextWatchAt = now + WATCH_MILLIS;
-      agents.forEach((host, agent) -> watch(agent.link, picks.test(host)));
+    if (watches) {
+      boolean isDue = now >= nextWatchAt || !wasWatching;
+      nextWatchAt = isDue ? now + WATCH_MILLIS : nextWatchAt;
+      agents.forEach((host, agent) -> watch(agent, picks.test(host), isDue));
     }
     wasWatching = watches;
   }
@@ -171,10 +173,15 @@
     return Optional.ofNullable(agents.get(host)).map(agent -> agent.link).filter(Link::isOpen);
   }
 
-  private static void watch(Link link, boolean picks) {
-    if (link != null && link.isOpen()) {
-      link.offer(
-          Frame.newBuilder().setRankWatch(RankWatch.newBuilder().setWithoutPicks(!picks)).build());
+  /** Tells an agent that this entry watches it, when that is due or the wish for picks changed. */
+  private static void watch(Agent agent, boolean wantsPicks, boolean isDue) {
+    boolean isNews = isDue || agent.isAskedForPicks != wantsPicks;
+    if (isNews && agent.link != null && agent.link.isOpen()) {
+      agent.isAskedForPicks = wantsPicks;
+      agent.link.offer(
+          Frame.newBuilder()
+              .setRankWatch(RankWatch.newBuilder().setWithoutPicks(!wantsPicks))
+              .build());
     }
   }
 
@@ -208,7 +215,7 @@
       hosts.put(link, host);
       if (wasWatching) {
         // Waiting for the next word to all cost the first map after a loss of power 0.4 s.
-        watch(link, true);
+        watch(agent, true, true);
       }
     }
   }
