Look at what is due on the thread of the connections

Cause: the look had a thread of its own, so each heartbeat and load that it sent woke the connections' thread through a file descriptor.

--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -49,7 +49,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -96,7 +95,7 @@
   private volatile NodeSettings settings;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
-  private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+  private final ScheduledExecutorService ticker = group.next();
   private final ConfigurationState configuration = new ConfigurationState();
   private final TargetDirectory targets;
   private final NodeMetrics metrics;
