Quarantine requests that crash the targets which run them

So far nothing knew such a request: each caller's attempt was sent to as many targets as its route allows, each time anew, and with every crash a group of ranks stands still for seconds.

A request that a target answers is cleared. CrashWatch (gateway) tells a crash from a lost answer: it connects to the target once more, and a port at which nothing listens belongs to a process that ended; a target that stays dark shows with its next life (TargetDirectory). Entries tell each other at once; relays pass it on. The caller gets REQUEST_QUARANTINED (2013), not run, without a time to return.

Ways: (a) this one; (b) likelihood by how many ran beside it, and (c) the retry rule alone. (b) was not built. (c) is what stood. A 4xx as the answer was ruled out: a request that is proper by its form must not get one (rule DENIED), and 503 without Retry-After is true.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -2,6 +2,8 @@
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.serving.AttemptOutcome;
+import dev.ibishub.core.serving.CrashedRun;
+import dev.ibishub.core.serving.RequestIdentity;
 import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.core.serving.ReturnAdvice;
 import dev.ibishub.core.serving.SilenceRule;
@@ -11,10 +13,10 @@
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
 import dev.ibishub.runtime.MonotonicClock;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -71,6 +73,7 @@
   private int sends;
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
   private OptionalLong lastEventId = OptionalLong.empty();
+  private Optional<RequestIdentity> identity = Optional.empty();
   private long groupUntil = Long.MAX_VALUE;
   private boolean isOver;
 
@@ -115,6 +118,10 @@
       refuse(ResultCode.ENTRY_LEAVING, LEAVING_RETRY_MILLIS);
       return;
     }
+    if (isQuarantined(arrivedAt)) {
+      quarantine();
+      return;
+    }
     lastEventId = caller.lastEventId();
     timer =
         loop.schedule(
@@ -125,6 +132,29 @@
     send();
   }
 
+  private boolean isQuarantined(long now) {
+    return context.crashes().isQuarantined(this::identity, now);
+  }
+
+  private RequestIdentity identity() {
+    if (identity.isEmpty()) {
+      identity =
+          Optional.of(
+              RequestIdentity.of(
+                  request.uri(),
+                  routed.workspace().map(Workspace::name).orElse(""),
+                  ByteBufUtil.getBytes(request.content())));
+    }
+    return identity.get();
+  }
+
+  private void quarantine() {
+    String cause = "crashed %d targets in a row".formatted(context.crashes().crashes(identity()));
+    log.ended("request.quarantined", ResultCode.REQUEST_QUARANTINED, cause, sends);
+    answer.refusal(ResultCode.REQUEST_QUARANTINED, 0);
+    done("quarantined");
+  }
+
   /** The caller's connection is gone: the work for it stops. */
   void onCallerGone() {
     if (!isOver) {
@@ -183,11 +213,7 @@
     attempts.add(attempt);
     attempt.relay =
         AttemptRelay.start(
-            loop,
-            context.dialect(),
-            new InetSocketAddress(target.target().host(), target.target().port()),
-            copyFor(target, now),
-            attempt);
+            loop, context.dialect(), target.address(), copyFor(target, now), attempt);
     attempt.watchSilence();
   }
 
@@ -203,6 +229,7 @@
   /** Whether the request may be sent once more; takes that from the budget. */
   private boolean mayGoOn(AttemptOutcome outcome, int runsSoFar, long now) {
     return routed.retryRule().allowsAnother(outcome, runsSoFar, sends)
+        && !isQuarantined(now)
         && context.budgets().of(routed.service()).tryRetry(now, context.entries().getAsInt());
   }
 
@@ -261,6 +288,7 @@
   /** One attempt at one target, and what it brings. */
   private final class Attempt implements AttemptRelay.Listener {
     private final TargetDirectory.Known target;
+    private final long sentAt;
     private AttemptRelay relay;
     private ScheduledFuture<?> silence;
     private long heardAt;
@@ -269,6 +297,7 @@
 
     Attempt(TargetDirectory.Known target, long sentAt) {
       this.target = target;
+      this.sentAt = sentAt;
       this.heardAt = sentAt;
     }
 
@@ -334,6 +363,7 @@
         return;
       }
       end("silent");
+      context.crashes().onSilent(brokenRun(now));
       target.load().onAnswer(false, now);
       runs++;
       log.attemptFailed(
@@ -352,6 +382,10 @@
       context.metrics().onAttemptEnded(routed.service(), outcome);
     }
 
+    private CrashedRun brokenRun(long now) {
+      return new CrashedRun(identity(), target.target().life(), sentAt, now);
+    }
+
     private void endOthers() {
       List.copyOf(attempts).stream()
           .filter(other -> !other.equals(this))
@@ -413,6 +447,7 @@
 
     private void onGoodAnswer() {
       target.load().onAnswer(true, MonotonicClock.millis());
+      context.crashes().onAnswered(Exchange.this::identity);
       context
           .metrics()
           .onAnswered(routed.service(), pauses.firstPieceMillis(), pauses.longestPauseMillis());
@@ -431,17 +466,23 @@
       } else {
         target.load().onAnswer(isCallersFault, MonotonicClock.millis());
       }
-      onAttemptFailed(outcome, cause, failure, isCallersFault);
+      runs += outcome.mayHaveRun() ? 1 : 0;
+      lastFailure = failure.or(() -> lastFailure);
+      Runnable next = () -> onAttemptFailed(outcome, cause, isCallersFault);
+      if (outcome == AttemptOutcome.BROKEN) {
+        // Whether to send it on hangs on whether it crashed the target.
+        long now = MonotonicClock.millis();
+        context.crashes().onBroken(loop, brokenRun(now), target.address(), next);
+      } else {
+        next.run();
+      }
     }
   }
 
-  private void onAttemptFailed(
-      AttemptOutcome outcome,
-      String cause,
-      Optional<AttemptRelay.Failure> failure,
-      boolean isCallersFault) {
-    lastFailure = failure.or(() -> lastFailure);
-    runs += outcome.mayHaveRun() ? 1 : 0;
+  private void onAttemptFailed(AttemptOutcome outcome, String cause, boolean isCallersFault) {
+    if (isOver) {
+      return;
+    }
     boolean isOtherUnderWay = !attempts.isEmpty();
     boolean another =
         !isOtherUnderWay && !isCallersFault && mayGoOn(outcome, runs, MonotonicClock.millis());
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -14,6 +14,7 @@
  * @param targets the targets
  * @param budgets the retry budgets
  * @param services what is seen of each service's answers
+ * @param crashes finds requests that crash targets
  * @param entries how many entries share the targets, 1 or more
  * @param stop whether and when this process stops
  * @param metrics what is counted
@@ -25,6 +26,7 @@
     TargetDirectory targets,
     RetryBudgets budgets,
     ServiceWatch services,
+    CrashWatch crashes,
     IntSupplier entries,
     StopPlan stop,
     RequestMetrics metrics,
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -18,7 +19,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The targets that may get requests, with what is believed of each. Thread-safe by one lock; the
@@ -45,6 +48,7 @@
   static final long OUTAGE_MILLIS = 2_000;
 
   private final String ownZone;
+  private final Consumer<String> onLifeEnded;
   private final Map<String, Known> known = new HashMap<>();
   private volatile Map<String, List<Known>> usableByService = Map.of();
   private volatile Map<String, List<Known>> byHost = Map.of();
@@ -60,8 +64,9 @@
    * @param offset where its newest entry stands among all entries
    */
   public record Known(Target target, TargetLoad load, long usedUntil, long offset) {
-    private String address() {
-      return target.host() + ":" + target.port();
+    /** Returns where it answers. */
+    InetSocketAddress address() {
+      return new InetSocketAddress(target.host(), target.port());
     }
 
     /** Returns the later of two lives at one address. */
@@ -80,7 +85,19 @@
    * @param ownZone the failure domain of this process
    */
   public TargetDirectory(String ownZone) {
+    this(ownZone, life -> {});
+  }
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param ownZone the failure domain of this process
+   * @param onLifeEnded told of each life of a target that ended without notice, as its successor at
+   *     the same address shows; see {@link Target#life}
+   */
+  public TargetDirectory(String ownZone, Consumer<String> onLifeEnded) {
     this.ownZone = ownZone;
+    this.onLifeEnded = onLifeEnded;
   }
 
   public String ownZone() {
@@ -101,6 +118,9 @@
     }
     TargetLoad load = isNewLife ? new TargetLoad() : before.load();
     Known announced = new Known(target, load, Long.MAX_VALUE, offset);
+    if (isNewLife) {
+      predecessors(announced).map(each -> each.target().life()).forEach(onLifeEnded);
+    }
     known.put(target.id(), announced);
     if (isNewLife || before.target().leaving() != target.leaving()) {
       logger.atInfo().log(
@@ -108,7 +128,7 @@
           LogEvent.of("target.announced")
               .with("target", target.id())
               .with("service", target.service())
-              .with("address", announced.address())
+              .with("address", target.host() + ":" + target.port())
               .with("leaving", target.leaving())
               .with("started_ms", target.startedAtMillis()));
     }
@@ -120,6 +140,15 @@
     }
   }
 
+  /** Returns the targets whose place another one took without their having said that they leave. */
+  private Stream<Known> predecessors(Known successor) {
+    return known.values().stream()
+        .filter(each -> each.address().equals(successor.address()))
+        .filter(each -> each.target().service().equals(successor.target().service()))
+        .filter(each -> !each.target().leaving())
+        .filter(each -> Known.later(each, successor).equals(successor));
+  }
+
   /**
    * Takes in that a target's entry is gone.
    *
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -8,6 +8,7 @@
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.CrashReport;
 import dev.ibishub.wire.generated.EntryBeat;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LoadReports;
@@ -118,9 +119,14 @@
    * Told of what other entries know.
    *
    * @param onProgress takes what one read of the platform's records; returns whether it was news
+   * @param onCrashes takes what one found of requests that crash targets; returns whether it was
+   *     news
    * @param onLoads takes what one heard of the targets' load
    */
-  public record Listener(Predicate<RecordProgress> onProgress, Consumer<LoadReports> onLoads) {}
+  public record Listener(
+      Predicate<RecordProgress> onProgress,
+      Predicate<CrashReport> onCrashes,
+      Consumer<LoadReports> onLoads) {}
 
   private static final class Known {
     private String host = "";
@@ -248,7 +254,9 @@
   public void onFrame(Link link, Frame frame) {
     switch (frame.getBodyCase()) {
       case ENTRY_BEAT -> onBeat(link, frame.getEntryBeat());
-      case RECORD_PROGRESS -> onProgress(link, frame);
+      case RECORD_PROGRESS ->
+          passOn(link, frame, listener.onProgress().test(frame.getRecordProgress()));
+      case CRASH_REPORT -> passOn(link, frame, listener.onCrashes().test(frame.getCrashReport()));
       case LOAD_REPORTS -> listener.onLoads().accept(frame.getLoadReports());
       default ->
           logger.atWarning().log(
@@ -278,11 +286,11 @@
   }
 
   /**
-   * Passes news on where its reader is linked to a few entries only. One that comes first is linked
-   * to all, so what it read needs no passing on.
+   * Passes news on where its sender is linked to a few entries only. One that comes first is linked
+   * to all, so what it says needs no passing on.
    */
-  private void onProgress(Link from, Frame frame) {
-    if (!listener.onProgress().test(frame.getRecordProgress())) {
+  private void passOn(Link from, Frame frame, boolean isNews) {
+    if (!isNews) {
       return;
     }
     List<Link> others;
--- a/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
@@ -33,4 +33,9 @@
       throw new IllegalArgumentException("target " + id + " has port " + port);
     }
   }
+
+  /** Returns a name of this life of the target, which none of its other lives has. */
+  public String life() {
+    return id + "@" + startedAtMillis;
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -10,6 +10,7 @@
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.generated.Frame;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -26,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,7 +50,9 @@
 
   private static final int PIECE_MILLIS = 100;
 
-  private final TargetDirectory targets = new TargetDirectory("z");
+  private final List<Frame> told = new CopyOnWriteArrayList<>();
+  private final CrashWatch crashes = new CrashWatch(told::add);
+  private final TargetDirectory targets = new TargetDirectory("z", crashes::onLifeEnded);
   private ServerSocket target;
   private Optional<ServingConfiguration> configuration;
   private CallerServer server;
@@ -81,6 +85,7 @@
                 targets,
                 new RetryBudgets(new RetryLimits(1, 10, 10_000)),
                 new ServiceWatch(),
+                crashes,
                 () -> 1,
                 new NeverStops(),
                 new RequestMetrics(new PrometheusRegistry()),
@@ -462,4 +467,67 @@
   void answerWithoutALengthIsWholeWhenItsConnectionEndsWell() throws IOException {
     assertThat(relayed("HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\ngood")).endsWith("\r\n\r\ngood");
   }
+
+  private ServerSocket announceAnother(String id) throws IOException {
+    ServerSocket another = new ServerSocket(0, 10, LOOPBACK);
+    another.setSoTimeout(PATIENCE_MILLIS);
+    targets.onAnnounced(
+        new Target(id, "s", LOOPBACK.getHostAddress(), another.getLocalPort(), "z", 2, false, 1),
+        1);
+    return another;
+  }
+
+  /** Ends as a process does that crashes while it runs a request: no port, no connection. */
+  private static void crash(ServerSocket at, Socket running) throws IOException {
+    at.close();
+    running.close();
+  }
+
+  private static Socket acceptRequest(ServerSocket at) throws IOException {
+    Socket running = at.accept();
+    readHead(running.getInputStream());
+    return running;
+  }
+
+  // Guards against a request that crashes each target it is sent to, and is sent on for ever.
+  @Test
+  void requestThatCrashedTwoTargetsIsRefusedAndOthersAreServed() throws IOException {
+    String poison = "GET /stream/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    try (Socket caller = send(poison)) {
+      Socket atFirst = acceptRequest(target);
+      ServerSocket second = announceAnother("u");
+      crash(target, atFirst);
+      Socket atSecond = acceptRequest(second);
+      targets.onDropped("t", 0, now());
+      try (ServerSocket third = announceAnother("v")) {
+        crash(second, atSecond);
+        assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 502 ");
+        targets.onDropped("u", 0, now());
+
+        assertThat(answerTo(poison))
+            .startsWith("HTTP/1.1 503 ")
+            .contains("\"code\":2013")
+            .doesNotContainIgnoringCase("retry-after");
+        try (Socket other = send(poison.replace("/x", "/y"));
+            Socket seen = third.accept()) {
+          assertThat(readHead(seen.getInputStream())).startsWith("GET /stream/y ");
+          seen.getOutputStream().write(OK.getBytes(US));
+          assertThat(readHead(other.getInputStream())).startsWith("HTTP/1.1 200 ");
+        }
+      }
+    }
+    assertThat(told).hasSize(2);
+  }
+
+  // Guards against requests that are taken for poison because a target lost some answers.
+  @Test
+  void targetThatLosesAnswersHasNotCrashed() throws IOException {
+    try (Socket caller = send("GET /once/x HTTP/1.1\r\nHost: h\r\n\r\n")) {
+      try (Socket seen = target.accept()) {
+        readHead(seen.getInputStream());
+      }
+      assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 502 ");
+    }
+    assertThat(told).isEmpty();
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.gateway.model.Target;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class TargetDirectoryTest {
@@ -110,4 +112,28 @@
 
     assertThat(directory.usable("pages")).hasSize(1);
   }
+
+  @Test
+  void lifeThatEndedWithoutNoticeIsToldWhenItsSuccessorShows() {
+    List<String> ended = new ArrayList<>();
+    TargetDirectory watched = new TargetDirectory("zone-a", ended::add);
+    watched.onAnnounced(at("t1", 80, 1), 1);
+    watched.onAnnounced(at("t1", 80, 1), 2);
+    watched.onAnnounced(at("t2", 81, 1), 3);
+    assertThat(ended).isEmpty();
+
+    watched.onAnnounced(at("t1", 80, 2), 4);
+    watched.onAnnounced(at("t3", 81, 5), 5);
+    assertThat(ended).containsExactly("t1@1", "t2@1");
+  }
+
+  @Test
+  void lifeThatWasLeavingEndedWithNotice() {
+    List<String> ended = new ArrayList<>();
+    TargetDirectory watched = new TargetDirectory("zone-a", ended::add);
+    watched.onAnnounced(target(true, 1), 1);
+    watched.onAnnounced(target(false, 2), 2);
+
+    assertThat(ended).isEmpty();
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -8,6 +8,7 @@
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
 import dev.ibishub.gateway.front.CallerServer;
+import dev.ibishub.gateway.front.CrashWatch;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
 import dev.ibishub.gateway.front.RetryBudgets;
@@ -54,6 +55,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** An entry: takes callers' requests on one VM and finds everything else by itself. */
 final class EntryNode {
@@ -97,6 +99,7 @@
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
   private final ScheduledExecutorService ticker = group.next();
   private final ConfigurationState configuration = new ConfigurationState();
+  private final CrashWatch crashes;
   private final TargetDirectory targets;
   private final NodeMetrics metrics;
   private final StoreClient store;
@@ -119,7 +122,8 @@
     InetSocketAddress storeAddress = Sockets.address(settings.storeAddress().orElseThrow());
     HttpCaller caller = new HttpCaller(group);
     metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
-    targets = new TargetDirectory(settings.zone());
+    crashes = new CrashWatch(this::broadcast);
+    targets = new TargetDirectory(settings.zone(), crashes::onLifeEnded);
     stop = new GracefulStop(settings);
     budgets = new RetryBudgets(retryLimits(settings));
     store =
@@ -166,8 +170,8 @@
             this::isReady,
             stop::isLeaving),
         transport,
-        () -> followers.stream().map(EntryNode::snapshot).flatMap(Optional::stream).toList(),
-        new PeerMesh.Listener(this::onProgress, this::onLoads));
+        this::snapshots,
+        new PeerMesh.Listener(this::onProgress, crashes::onTold, this::onLoads));
   }
 
   private static RetryLimits retryLimits(NodeSettings settings) {
@@ -185,6 +189,7 @@
             targets,
             budgets,
             new ServiceWatch(),
+            crashes,
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
@@ -248,7 +253,19 @@
   }
 
   private void tellOthers(String topic, RecordBatch batch) {
-    mesh.broadcast(RecordMessages.frame(topic, batch));
+    broadcast(RecordMessages.frame(topic, batch));
+  }
+
+  private void broadcast(Frame frame) {
+    mesh.broadcast(frame);
+  }
+
+  /** All that this entry knows, for one that it is newly linked to. */
+  private List<Frame> snapshots() {
+    return Stream.concat(
+            followers.stream().map(EntryNode::snapshot).flatMap(Optional::stream),
+            crashes.snapshot().stream())
+        .toList();
   }
 
   private static Optional<Frame> snapshot(RecordFollower follower) {
--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -83,6 +83,35 @@
     }
   }
 
+  private boolean isToldOfCrashes(String entry, int crashes) throws IOException {
+    return deployment.logOf(entry).lines().filter(line -> line.contains("crash.told")).count()
+        >= crashes;
+  }
+
+  // Guards against a request that takes one target after the other down, as it comes again at other
+  // entries.
+  @Test
+  void requestThatCrashesTargetsIsRefusedAtEveryEntry() throws IOException, InterruptedException {
+    TargetStandIn third = deployment.target("i-3", "127.0.0.1", "pages");
+    List<TargetStandIn> targets = List.of(first, second, third);
+    targets.forEach(target -> target.crashOn("/page/poison"));
+    deployment.await(
+        "all targets in use",
+        () ->
+            page("entry-1").statusCode() == 200
+                && page("entry-2").statusCode() == 200
+                && targets.stream().noneMatch(target -> target.ran().isEmpty()));
+
+    assertThat(deployment.call("entry-1", "GET", "/page/poison", "key-1").statusCode())
+        .isEqualTo(502);
+    deployment.await("the other entry told", () -> isToldOfCrashes("entry-2", 2));
+    HttpResponse<String> again = deployment.call("entry-2", "GET", "/page/poison", "key-1");
+
+    assertThat(again.statusCode()).isEqualTo(503);
+    assertThat(again.body()).contains("\"code\":2013");
+    deployment.await("the last target serves", () -> page("entry-2").statusCode() == 200);
+  }
+
   @Test
   void newConfigurationTakesHoldAtEveryEntry() throws IOException, InterruptedException {
     TargetStandIn other = deployment.target("i-3", "127.0.0.1", "other");
