Pass on what changed in the store's records, deflated where it is large

Cause: by the constants the entry that reads sends each renewal of each target to all others, at 72 targets and 42 entries some 1.5 MB a second, and each configuration of 1,300 routes, 336 KB as JSON, 41 times over its own link of 28 to 140 Mbit/s; entries that start are sent it by each of four relays. All entries decode each renewal. Change: a follower leaves out of what it passes on records that say what is known already, by what the adapter reads of them; the offset still moves. Messages over 1 KB go deflated, the one for a newly linked entry is kept until its topic moves. Ruled out: asking for a topic only when a link's first word names a higher offset, one more round trip before an entry that starts knows its configuration.

--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletionException;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -48,6 +49,7 @@
   private final KeyedLog log;
   private final Consumer<RecordChange> onChange;
   private final Consumer<RecordBatch> onRead;
+  private final BiPredicate<KeyedRecord, KeyedRecord> isRenewal;
   private final Map<String, KeyedRecord> newest = new HashMap<>();
   private long next = UNKNOWN;
   private boolean historyLost;
@@ -58,7 +60,7 @@
   private long outageMillis;
 
   /**
-   * Creates a follower that knows nothing yet.
+   * Creates a follower that knows nothing yet and passes each record on.
    *
    * @param onChange told of each new record
    * @param onRead told of each batch that this process read by itself, to pass it on to others
@@ -68,10 +70,28 @@
       KeyedLog log,
       Consumer<RecordChange> onChange,
       Consumer<RecordBatch> onRead) {
+    this(options, log, onChange, onRead, (before, after) -> false);
+  }
+
+  /**
+   * Creates a follower that knows nothing yet.
+   *
+   * @param onChange told of each new record
+   * @param onRead told of each batch that this process read by itself, to pass it on to others
+   * @param isRenewal whether the second of two records of a key, both with a value, says nothing
+   *     that the first did not; such are left out of what is passed on
+   */
+  public RecordFollower(
+      FollowerOptions options,
+      KeyedLog log,
+      Consumer<RecordChange> onChange,
+      Consumer<RecordBatch> onRead,
+      BiPredicate<KeyedRecord, KeyedRecord> isRenewal) {
     this.options = options;
     this.log = log;
     this.onChange = onChange;
     this.onRead = onRead;
+    this.isRenewal = isRenewal;
   }
 
   /**
@@ -150,7 +170,7 @@
 
   private void finish(RecordBatch batch, Throwable failure) {
     long now = MonotonicClock.millis();
-    boolean passOn = false;
+    Optional<RecordBatch> news = Optional.empty();
     synchronized (this) {
       reading = false;
       if (failure != null) {
@@ -166,13 +186,33 @@
       } else {
         onReachable(now);
         historyLost = historyLost && !batch.isWhole();
+        news = Optional.of(batch.isWhole() ? batch : withoutRenewals(batch));
         take(batch, now);
-        passOn = true;
       }
     }
-    if (passOn) {
-      onRead.accept(batch);
+    news.ifPresent(onRead);
+  }
+
+  /**
+   * Leaves out what others know already. Targets write once a second each to say that they live,
+   * and all entries would decode each of these records, most of what they hear of the store.
+   */
+  private RecordBatch withoutRenewals(RecordBatch batch) {
+    Map<String, KeyedRecord> before = new HashMap<>();
+    List<KeyedRecord> news = new ArrayList<>();
+    for (KeyedRecord record : batch.records()) {
+      KeyedRecord known = before.getOrDefault(record.key(), newest.get(record.key()));
+      before.put(record.key(), record);
+      boolean isRenewed =
+          known != null
+              && known.value().isPresent()
+              && record.value().isPresent()
+              && isRenewal.test(known, record);
+      if (!isRenewed) {
+        news.add(record);
+      }
     }
+    return new RecordBatch(batch.from(), batch.end(), false, news);
   }
 
   private void onFailure(Throwable failure, long now) {
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -5,6 +5,7 @@
 import dev.ibishub.runtime.MonotonicClock;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -149,4 +150,30 @@
     follower.tick(after + allOfTheFirst + OPTIONS.turnMillis(), 41);
     assertThat(known).containsEntry("a", "2");
   }
+
+  private static boolean sameText(KeyedRecord before, KeyedRecord after) {
+    return Arrays.equals(before.value().orElseThrow(), after.value().orElseThrow());
+  }
+
+  // Guards against control traffic that grows with time: each target writes once a second that it
+  // lives.
+  @Test
+  void recordsThatOnlyRenewAreNotPassedOn() {
+    RecordFollower reader =
+        new RecordFollower(OPTIONS, log, change -> {}, passedOn::add, RecordFollowerTest::sameText);
+    log.put("a", "1");
+    reader.tick(MonotonicClock.millis() + 10_000, 0);
+    log.put("a", "1");
+    log.put("b", "1");
+    log.put("a", "1");
+    reader.tick(MonotonicClock.millis() + 20_000, 0);
+    log.drop("a");
+    log.put("a", "1");
+    reader.tick(MonotonicClock.millis() + 30_000, 0);
+
+    assertThat(passedOn)
+        .extracting(batch -> batch.records().stream().map(KeyedRecord::key).toList())
+        .containsExactly(List.of("a"), List.of("b"), List.of("a", "a"));
+    assertThat(passedOn).extracting(RecordBatch::end).containsExactly(1L, 4L, 6L);
+  }
 }
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordMessagesTest.java
@@ -0,0 +1,52 @@
+package dev.ibishub.gateway.records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import dev.ibishub.wire.generated.RecordProgress;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class RecordMessagesTest {
+  private static final String ROUTE = "{\"name\":\"route\",\"host\":\"h.example\"},";
+
+  private static RecordProgress message(String value) {
+    KeyedRecord record =
+        new KeyedRecord(7, "config", Optional.of(value.getBytes(StandardCharsets.UTF_8)));
+    return RecordMessages.frame("topic", new RecordBatch(0, 8, true, List.of(record)))
+        .getRecordProgress();
+  }
+
+  @Test
+  void largeBatchGoesSmallAndComesBackWhole() throws IOException {
+    String large = ROUTE.repeat(1_000);
+    RecordProgress sent = message(large);
+    RecordProgress received = RecordMessages.inflated(sent);
+    RecordBatch batch = RecordMessages.batch(received);
+
+    assertThat(sent.getSerializedSize()).isLessThan(large.length() / 5);
+    assertThat(received.getTopic()).isEqualTo("topic");
+    assertThat(batch.end()).isEqualTo(8);
+    assertThat(batch.records().get(0).value().orElseThrow())
+        .isEqualTo(large.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void smallBatchGoesAsItIs() throws IOException {
+    RecordProgress sent = message(ROUTE);
+
+    assertThat(RecordMessages.inflated(sent)).isSameAs(sent);
+  }
+
+  @Test
+  void bytesThatAreNoMessageAreRefused() {
+    RecordProgress spoiled =
+        RecordProgress.newBuilder().setDeflated(ByteString.copyFromUtf8("spoiled")).build();
+
+    assertThatThrownBy(() -> RecordMessages.inflated(spoiled)).isInstanceOf(IOException.class);
+  }
+}
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -48,8 +48,10 @@
 import java.nio.file.Path;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -104,6 +106,7 @@
   private final NodeMetrics metrics;
   private final StoreClient store;
   private final List<RecordFollower> followers;
+  private final Map<String, Snapshot> snapshots = new ConcurrentHashMap<>();
   private final PeerMesh mesh;
   private final WireTransport transport;
   private final CallerServer server;
@@ -132,7 +135,12 @@
     followers =
         List.of(
             follower(CONFIGURATION, this::onConfigurationRecord),
-            follower(TARGETS, this::onTargetRecord),
+            new RecordFollower(
+                TARGETS,
+                store,
+                this::onTargetRecord,
+                batch -> tellOthers(TARGETS.topic(), batch),
+                TargetEntryDecoder::isRenewal),
             follower(ENTRIES, this::onEntryRecord));
     transport = WireTransport.sharing(identity(settings), group);
     mesh = newMesh();
@@ -263,15 +271,26 @@
   /** All that this entry knows, for one that it is newly linked to. */
   private List<Frame> snapshots() {
     return Stream.concat(
-            followers.stream().map(EntryNode::snapshot).flatMap(Optional::stream),
+            followers.stream().map(this::snapshot).flatMap(Optional::stream),
             crashes.snapshot().stream())
         .toList();
   }
 
-  private static Optional<Frame> snapshot(RecordFollower follower) {
-    return follower.snapshot().map(batch -> RecordMessages.frame(follower.topic(), batch));
+  /** The message of all that a follower knows; kept, as it may be large and changes rarely. */
+  private Optional<Frame> snapshot(RecordFollower follower) {
+    Optional<RecordBatch> batch = follower.snapshot();
+    Snapshot kept = snapshots.get(follower.topic());
+    if (kept != null && batch.map(RecordBatch::end).equals(Optional.of(kept.end()))) {
+      return Optional.of(kept.frame());
+    }
+    Optional<Frame> frame = batch.map(whole -> RecordMessages.frame(follower.topic(), whole));
+    frame.ifPresent(
+        made -> snapshots.put(follower.topic(), new Snapshot(batch.orElseThrow().end(), made)));
+    return frame;
   }
 
+  private record Snapshot(long end, Frame frame) {}
+
   private boolean isReady() {
     return isListening
         && !stop.isLeaving()
@@ -357,8 +376,15 @@
             });
   }
 
-  private boolean onProgress(RecordProgress progress) {
+  private boolean onProgress(RecordProgress message) {
     long now = MonotonicClock.millis();
+    RecordProgress progress;
+    try {
+      progress = RecordMessages.inflated(message);
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("%s", LogEvent.of("progress.unreadable"));
+      return false;
+    }
     return followers.stream()
         .filter(follower -> follower.topic().equals(progress.getTopic()))
         .map(follower -> follower.onHeard(RecordMessages.batch(progress), now))
