--- a/bench/src/main/java/dev/ibishub/bench/BenchMain.java
+++ b/bench/src/main/java/dev/ibishub/bench/BenchMain.java
@@ -2,6 +2,7 @@
 
 import dev.ibishub.bench.capacity.CapacityBench;
 import dev.ibishub.bench.claims.ClaimsBench;
+import dev.ibishub.bench.crashes.CrashesBench;
 import dev.ibishub.bench.experts.ExpertsBench;
 import dev.ibishub.bench.experts.PlacementBench;
 import dev.ibishub.bench.fairness.FairnessBench;
@@ -30,6 +31,7 @@
           new MembershipBench(),
           new ExpertsBench(),
           new PlacementBench(),
+          new CrashesBench(),
           new CapacityBench());
 
   private BenchMain() {}
--- a/core/src/main/java/dev/ibishub/core/serving/CrashBlame.java
+++ b/core/src/main/java/dev/ibishub/core/serving/CrashBlame.java
@@ -32,7 +32,7 @@
    * served again after this; one that crashes a target once more waits {@link #GROWTH} times longer
    * each time.
    */
-  static final long QUARANTINE_MILLIS = 30_000;
+  static final long QUARANTINE_MILLIS = 300_000;
 
   private static final long GROWTH = 10;
 
