--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -4,9 +4,7 @@
 import dev.ibishub.core.serving.AttemptOutcome;
 import dev.ibishub.core.serving.CrashedRun;
 import dev.ibishub.core.serving.RequestIdentity;
-import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.core.serving.ReturnAdvice;
-import dev.ibishub.core.serving.SilenceRule;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.gateway.model.EngineProfile;
@@ -52,9 +50,6 @@
   /** Time between two looks at a group that is about to open, milliseconds. */
   private static final long FORMING_LOOK_MILLIS = 60;
 
-  /** Shortest time between two looks at whether a stream has gone silent, milliseconds. */
-  private static final long STREAM_LOOK_MILLIS = 150;
-
   private final RequestContext context;
   private final EventLoop loop;
   private final FullHttpRequest request;
@@ -214,7 +209,7 @@
     attempt.relay =
         AttemptRelay.start(
             loop, context.dialect(), target.address(), copyFor(target, now), attempt);
-    attempt.watchSilence();
+    attempt.silence.start(routed, now);
   }
 
   /** Asks one more target beside those that are silent, where the request may run there too. */
@@ -290,65 +285,37 @@
     private final TargetDirectory.Known target;
     private final long sentAt;
     private AttemptRelay relay;
-    private ScheduledFuture<?> silence;
-    private long heardAt;
-    private boolean hasPiece;
+    private final SilenceWatch silence;
     private boolean isSilent;
 
     Attempt(TargetDirectory.Known target, long sentAt) {
       this.target = target;
       this.sentAt = sentAt;
-      this.heardAt = sentAt;
-    }
-
-    /** Has itself looked after, that another target may take over when this one is silent. */
-    void watchSilence() {
-      if (routed.route().kind() == RequestKind.IDEMPOTENT && routed.engine().isEmpty()) {
-        // The first target goes on: given up, one in seven of those asked instead failed where the
-        // first would have answered.
-        context
-            .services()
-            .answers(routed.service())
-            .silenceMillis(routed.route().aimMillis())
-            .ifPresent(this::awaitPage);
-      } else if (routed.route().kind() == RequestKind.RESUMABLE_STREAM) {
-        awaitStream(heardAt);
-      }
-    }
-
-    /** Looks again when the stream may be lost, not before {@link #STREAM_LOOK_MILLIS}. */
-    private void awaitStream(long now) {
-      long due = SilenceRule.lostFrom(heardAt, hasPiece);
-      silence =
-          loop.schedule(
-              this::onStreamLook, Math.max(STREAM_LOOK_MILLIS, due - now), TimeUnit.MILLISECONDS);
+      this.silence =
+          new SilenceWatch(
+              loop,
+              context.services(),
+              routed.service(),
+              new SilenceWatch.Listener(this::isQueueing, this::onPageSilent, this::onStreamLost));
     }
 
-    private void awaitPage(long millis) {
-      silence = loop.schedule(this::onPageSilence, millis, TimeUnit.MILLISECONDS);
-    }
-
-    private void onPageSilence() {
+    private void onPageSilent() {
       if (attempts.contains(this) && !relay.isAnswering()) {
         isSilent = true;
         sendBeside();
       }
     }
 
-    private void onStreamLook() {
-      long now = MonotonicClock.millis();
-      boolean mayWait =
-          routed
-              .engine()
-              .map(profile -> target.load().isQueueing(now, profile.slots()))
-              .orElse(false);
-      OptionalLong movingSince = context.services().streams(routed.service()).movingSince(now);
-      boolean isLost = SilenceRule.isLost(now, heardAt, hasPiece, mayWait, movingSince);
-      if (isLost && attempts.contains(this)) {
-        moveElsewhere(now);
-      }
+    private boolean isQueueing(long now) {
+      return routed
+          .engine()
+          .map(profile -> target.load().isQueueing(now, profile.slots()))
+          .orElse(false);
+    }
+
+    private void onStreamLost() {
       if (attempts.contains(this)) {
-        awaitStream(now);
+        moveElsewhere(MonotonicClock.millis());
       }
     }
 
@@ -373,9 +340,7 @@
 
     /** Ends the attempt, whatever it still brings. */
     void end(String outcome) {
-      if (silence != null) {
-        silence.cancel(false);
-      }
+      silence.stop();
       relay.cancel();
       attempts.remove(this);
       target.load().onEnded();
@@ -409,7 +374,7 @@
       endOthers();
       long now = MonotonicClock.millis();
       pauses.onPiece(now);
-      context.services().answers(routed.service()).onGood(now - heardAt);
+      context.services().answers(routed.service()).onGood(now - sentAt);
       onGoodAnswer();
       answer.whole(status, headers, body);
       done("ok");
@@ -428,10 +393,10 @@
       if (eventId.isPresent()) {
         lastEventId = eventId;
       }
-      heardAt = MonotonicClock.millis();
-      hasPiece = true;
-      pauses.onPiece(heardAt);
-      context.services().streams(routed.service()).onPiece(heardAt);
+      long now = MonotonicClock.millis();
+      silence.onPiece(now);
+      pauses.onPiece(now);
+      context.services().streams(routed.service()).onPiece(now);
       answer.part(bytes);
       if (!answer.isWritable()) {
         relay.setReading(false);
