--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
@@ -74,7 +74,7 @@
   @Override
   public void channelActive(ChannelHandlerContext opened) {
     channelContext = opened;
-    watchAfter(IDLE_WATCH_MILLIS);
+    watchAfter(Math.min(IDLE_WATCH_MILLIS, untilIdle(MonotonicClock.millis())));
   }
 
   @Override
@@ -257,12 +257,16 @@
       closeIfDue(now);
     }
     if (!isClosing) {
-      long untilIdle = watch.lastByteAt() + limits().idleTimeoutMillis() + 1 - now;
       long longest = isArriving() ? ARRIVING_WATCH_MILLIS : IDLE_WATCH_MILLIS;
-      watchAfter(exchange == null ? Math.min(longest, untilIdle) : longest);
+      watchAfter(exchange == null ? Math.min(longest, untilIdle(now)) : longest);
     }
   }
 
+  /** Returns the time until the sender counts as idle if nothing more comes, milliseconds. */
+  private long untilIdle(long now) {
+    return watch.lastByteAt() + limits().idleTimeoutMillis() + 1 - now;
+  }
+
   private void closeIfDue(long now) {
     boolean isBodySlow = head != null && now - watch.lastByteAt() > limits().headerTimeoutMillis();
     if (isBodySlow || now > watch.headDeadline()) {
