--- a/core/src/main/java/dev/ibishub/core/entries/EntryFacts.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryFacts.java
@@ -18,4 +18,22 @@
     Objects.requireNonNull(host);
     Objects.requireNonNull(callerAddress);
   }
+
+  // Written out, as a record's own methods are linked at their first call, which takes a process
+  // that starts longer than all else that it does with heartbeats.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EntryFacts facts
+        && host.equals(facts.host)
+        && callerAddress.equals(facts.callerAddress)
+        && startedAt == facts.startedAt
+        && isReady == facts.isReady
+        && isLeaving == facts.isLeaving;
+  }
+
+  @Override
+  public int hashCode() {
+    return host.hashCode();
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupLead.java
@@ -109,7 +109,7 @@
 
   /** Whether the group is led by these figures. */
   boolean isFor(int ranks, EngineProfile engine) {
-    return size == ranks && profile.equals(engine);
+    return size == ranks && Objects.equals(profile, engine);
   }
 
   void onPlace(Target target, double pace, RankState.Membership place, long now) {
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankAgent.java
@@ -7,9 +7,11 @@
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.RankOrderCall;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -50,7 +52,7 @@
   private final RankEngine engine;
   private final Runnable onNews;
   private final Set<Link> links = ConcurrentHashMap.newKeySet();
-  private final Set<Watcher> watchers = ConcurrentHashMap.newKeySet();
+  private final List<Watcher> watchers = new CopyOnWriteArrayList<>();
   private final AtomicBoolean isReadingState = new AtomicBoolean();
   private final AtomicBoolean isReadingPicks = new AtomicBoolean();
   private volatile RankState lastState;
@@ -209,9 +211,7 @@
   private void tell(RankState state, long now) {
     Frame frame = RankMessages.report(state);
     boolean isPlainDue = now - lastPlainReportAt >= PLAIN_REPORT_MILLIS - EARLY_MILLIS;
-    if (isPlainDue || !state.equals(lastState)) {
-      watchers.forEach(watcher -> watcher.link().offer(frame));
-    }
+    watchers.forEach(watcher -> watcher.link().offer(frame));
     lastState = state;
     if (isPlainDue) {
       lastPlainReportAt = now;
--- a/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
@@ -38,4 +38,25 @@
   public String life() {
     return id + "@" + startedAtMillis;
   }
+
+  // Written out, as a record's own methods are linked at their first call, which is slow in a
+  // process that starts.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Target target
+        && id.equals(target.id)
+        && service.equals(target.service)
+        && host.equals(target.host)
+        && port == target.port
+        && Objects.equals(zone, target.zone)
+        && slots == target.slots
+        && leaving == target.leaving
+        && startedAtMillis == target.startedAtMillis;
+  }
+
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -20,16 +20,10 @@
 import dev.ibishub.gateway.model.Service;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
-import dev.ibishub.gateway.records.FollowerOptions;
-import dev.ibishub.gateway.records.RecordBatch;
-import dev.ibishub.gateway.records.RecordFollower;
-import dev.ibishub.gateway.records.RecordFollower.RecordChange;
-import dev.ibishub.gateway.records.RecordMessages;
 import dev.ibishub.platform.AddressPages;
 import dev.ibishub.platform.EngineClient;
 import dev.ibishub.platform.HeaderDialect;
 import dev.ibishub.platform.StoreClient;
-import dev.ibishub.platform.TargetEntryDecoder;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.runtime.StopSignals;
@@ -38,24 +32,19 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LoadReports;
-import dev.ibishub.wire.generated.RecordProgress;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -77,25 +66,6 @@
   /** How long an entry counts as starting, milliseconds: until links and lead are settled. */
   private static final long STARTING_MILLIS = 4_000;
 
-  /**
-   * How the operator's configuration is followed: one entry keeps a read open that the store
-   * answers at once on a change, or after this long; the others step in if they hear nothing.
-   */
-  private static final FollowerOptions CONFIGURATION =
-      new FollowerOptions(StoreClient.OPERATOR_TOPIC, 50, 1_300, 1_000);
-
-  /**
-   * How targets are followed. Each writes about once a second, so a read that is held open would
-   * return with each single write; a read each half second returns some ten of them, and a target
-   * that leaves is known within a quarter of the time that it has to be.
-   */
-  private static final FollowerOptions TARGETS =
-      new FollowerOptions(StoreClient.TARGETS_TOPIC, 500, 250, 0);
-
-  /** How entries that no other entry names are found; seeds and heartbeats name most. */
-  private static final FollowerOptions ENTRIES =
-      new FollowerOptions(StoreClient.ENTRIES_TOPIC, 5_000, 1_500, 0);
-
   private volatile NodeSettings settings;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
@@ -105,8 +75,7 @@
   private final TargetDirectory targets;
   private final NodeMetrics metrics;
   private final StoreClient store;
-  private final List<RecordFollower> followers;
-  private final Map<String, Snapshot> snapshots = new ConcurrentHashMap<>();
+  private final StoreTopics topics;
   private final PeerMesh mesh;
   private final WireTransport transport;
   private final CallerServer server;
@@ -132,16 +101,13 @@
     store =
         new StoreClient(
             caller, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
-    followers =
-        List.of(
-            follower(CONFIGURATION, this::onConfigurationRecord),
-            new RecordFollower(
-                TARGETS,
-                store,
-                this::onTargetRecord,
-                batch -> tellOthers(TARGETS.topic(), batch),
-                TargetEntryDecoder::isRenewal),
-            follower(ENTRIES, this::onEntryRecord));
+    topics =
+        new StoreTopics(
+            store,
+            configuration,
+            targets,
+            new StoreTopics.Listener(
+                this::broadcast, host -> mesh().addHosts(List.of(host), MonotonicClock.millis())));
     transport = WireTransport.sharing(identity(settings), group);
     mesh = newMesh();
     experts =
@@ -179,7 +145,7 @@
             stop::isLeaving),
         transport,
         this::snapshots,
-        new PeerMesh.Listener(this::onProgress, crashes::onTold, this::onLoads));
+        new PeerMesh.Listener(topics::onProgress, crashes::onTold, this::onLoads));
   }
 
   private static RetryLimits retryLimits(NodeSettings settings) {
@@ -255,47 +221,20 @@
     mesh.addHosts(changed.seeds().stream().map(Sockets::host).toList(), MonotonicClock.millis());
   }
 
-  private RecordFollower follower(FollowerOptions options, Consumer<RecordChange> onChange) {
-    return new RecordFollower(
-        options, store, onChange, batch -> tellOthers(options.topic(), batch));
-  }
-
-  private void tellOthers(String topic, RecordBatch batch) {
-    broadcast(RecordMessages.frame(topic, batch));
-  }
-
   private void broadcast(Frame frame) {
     mesh.broadcast(frame);
   }
 
   /** All that this entry knows, for one that it is newly linked to. */
   private List<Frame> snapshots() {
-    return Stream.concat(
-            followers.stream().map(this::snapshot).flatMap(Optional::stream),
-            crashes.snapshot().stream())
-        .toList();
-  }
-
-  /** The message of all that a follower knows; kept, as it may be large and changes rarely. */
-  private Optional<Frame> snapshot(RecordFollower follower) {
-    Optional<RecordBatch> batch = follower.snapshot();
-    Snapshot kept = snapshots.get(follower.topic());
-    if (kept != null && batch.map(RecordBatch::end).equals(Optional.of(kept.end()))) {
-      return Optional.of(kept.frame());
-    }
-    Optional<Frame> frame = batch.map(whole -> RecordMessages.frame(follower.topic(), whole));
-    frame.ifPresent(
-        made -> snapshots.put(follower.topic(), new Snapshot(batch.orElseThrow().end(), made)));
-    return frame;
+    return Stream.concat(topics.snapshots().stream(), crashes.snapshot().stream()).toList();
   }
 
-  private record Snapshot(long end, Frame frame) {}
-
   private boolean isReady() {
     return isListening
         && !stop.isLeaving()
         && configuration.get().isPresent()
-        && followers.get(1).isKnown();
+        && topics.areTargetsKnown();
   }
 
   private void tick() {
@@ -316,7 +255,7 @@
         paths.lookAround(engineHosts, now);
       }
       loads.tick(collects, now);
-      followers.forEach(follower -> follower.tick(now, turn));
+      topics.tick(now, turn);
       announce();
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
@@ -329,6 +268,10 @@
     return paths;
   }
 
+  private PeerMesh mesh() {
+    return mesh;
+  }
+
   /** IP numbers of targets that are model engines; an agent may stand beside each. */
   private Set<String> engineHosts() {
     Optional<ServingConfiguration> current = configuration.get();
@@ -348,7 +291,7 @@
 
   private void updateMetrics() {
     long now = MonotonicClock.millis();
-    followers.forEach(follower -> metrics.onAge(follower.topic(), follower.ageMillis(now)));
+    topics.forEachAge(now, metrics::onAge);
     metrics.onState(
         configuration.get().map(ServingConfiguration::version).orElse(0L),
         mesh.entries(now),
@@ -376,55 +319,7 @@
             });
   }
 
-  private boolean onProgress(RecordProgress message) {
-    long now = MonotonicClock.millis();
-    RecordProgress progress;
-    try {
-      progress = RecordMessages.inflated(message);
-    } catch (IOException e) {
-      logger.atWarning().withCause(e).log("%s", LogEvent.of("progress.unreadable"));
-      return false;
-    }
-    return followers.stream()
-        .filter(follower -> follower.topic().equals(progress.getTopic()))
-        .map(follower -> follower.onHeard(RecordMessages.batch(progress), now))
-        .reduce(false, Boolean::logicalOr);
-  }
-
   private void onLoads(LoadReports reports) {
     loads.onTold(reports, MonotonicClock.millis());
   }
-
-  private void onConfigurationRecord(RecordChange change) {
-    if (change.record().key().equals(StoreClient.CONFIGURATION_KEY)) {
-      configuration.onRecord(change.record());
-    }
-  }
-
-  private void onTargetRecord(RecordChange change) {
-    String id = change.record().key();
-    if (change.record().value().isEmpty()) {
-      targets.onDropped(id, change.outageMillis(), MonotonicClock.millis());
-      return;
-    }
-    try {
-      targets.onAnnounced(TargetEntryDecoder.decode(change.record()), change.record().offset());
-    } catch (IOException | IllegalArgumentException e) {
-      logger.atWarning().log(
-          "%s",
-          LogEvent.of("target.unreadable")
-              .with("target", id)
-              .with("offset", change.record().offset())
-              .with("cause", e));
-    }
-  }
-
-  private void onEntryRecord(RecordChange change) {
-    change
-        .record()
-        .value()
-        .map(ByteString::copyFrom)
-        .map(ByteString::toStringUtf8)
-        .ifPresent(host -> mesh.addHosts(List.of(host), MonotonicClock.millis()));
-  }
 }
