Count crashes in a row by times that may be told late; build a whole heartbeat only where it is news

Cause, found in reading: what other entries tell of a crash is dated by its age when the message arrives, so on a slow link the first crash seemed to come after the second run had begun, and the two counted once: the quarantine would have held at the first entry only. Runs that overlap by up to 250 ms count as one after the other. Test first: CrashBlameTest.crashThatWasToldLateComesBeforeTheNextRunAllTheSame.

--- a/core/src/main/java/dev/ibishub/core/serving/CrashBlame.java
+++ b/core/src/main/java/dev/ibishub/core/serving/CrashBlame.java
@@ -45,6 +45,12 @@
    */
   static final long UNDECIDED_MILLIS = 15_000;
 
+  /**
+   * Runs that overlap by no more than this still count as one after the other, milliseconds: runs
+   * that other entries tell of are dated later than they were by the time that the message took.
+   */
+  static final long OVERLAP_MILLIS = 250;
+
   /** Requests, broken runs and ended lives that are kept of each; beyond it the oldest go. */
   static final int MOST_KEPT = 2_048;
 
@@ -156,9 +162,9 @@
    */
   private static int inARow(List<CrashedRun> runs) {
     int crashes = 0;
-    long countedAt = Long.MIN_VALUE;
+    long countedAt = 0;
     for (CrashedRun run : runs) {
-      if (run.sentAt() >= countedAt) {
+      if (crashes == 0 || run.sentAt() >= countedAt - OVERLAP_MILLIS) {
         crashes++;
         countedAt = run.brokenAt();
       }
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -342,16 +342,21 @@
     heard = heard.next(roster.heard(now));
     EntryFacts own = self.facts();
     Frame brief = BeatMessages.frame(own, heard, true, now);
-    Frame whole = BeatMessages.frame(own, heard, false, now);
-    for (Link link : open()) {
+    List<Link> open = open();
+    boolean isNews = open.stream().anyMatch(link -> !isRosterKnown(link));
+    Frame whole = isNews ? BeatMessages.frame(own, heard, false, now) : brief;
+    for (Link link : open) {
       Known known = links.get(link);
-      boolean isKnown = known.toldRoster == heard.number();
-      if (link.offer(isKnown ? brief : whole)) {
+      if (link.offer(isRosterKnown(link) ? brief : whole)) {
         known.toldRoster = heard.number();
       }
     }
   }
 
+  private boolean isRosterKnown(Link link) {
+    return links.get(link).toldRoster == heard.number();
+  }
+
   private void dial(String host, long now) {
     Dial dial = dials.computeIfAbsent(host, any -> new Dial());
     if (dial.isUnderWay || now < dial.nextAt) {
