--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -277,8 +277,10 @@
     List<KeyedRecord> news = new ArrayList<>();
     batch.records().stream().filter(this::isNewer).forEach(news::add);
     if (batch.isSnapshot()) {
+      // The next record has the offset batch.end() and must count as newer than the deletion.
+      long deletedAt = batch.end() - 1;
       keysMissingFrom(batch)
-          .forEach(key -> news.add(new KeyedRecord(batch.end(), key, Optional.empty())));
+          .forEach(key -> news.add(new KeyedRecord(deletedAt, key, Optional.empty())));
     }
     nextOffset = Math.max(nextOffset, batch.end());
     confirmedAt = now;
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -129,6 +129,25 @@
     assertThat(known).containsEntry("a", "1");
   }
 
+  // Guards against a record that is never applied, such as the evacuation of a zone. The key had
+  // been
+  // missing from a snapshot, and the first record after it was written under the same key.
+  @Test
+  void firstRecordAfterSnapshotAppliesToKeyThatWasMissingFromIt() {
+    log.put("a", "1");
+    log.put("b", "1");
+    read();
+    log.delete("a");
+    log.forgetHistory();
+    read();
+    read();
+    assertThat(known).doesNotContainKey("a");
+    log.put("a", "2");
+    read();
+
+    assertThat(known).containsEntry("a", "2");
+  }
+
   private static Optional<byte[]> bytes(String text) {
     return Optional.of(text.getBytes(StandardCharsets.UTF_8));
   }
