Send nothing to targets in evacuated zones

Cause: the operator's record evacuate/ZONE was read by no entry.

Change: OperatorRecords decodes the key, CurrentEvacuations applies the records in their order, and TargetDirectory leaves the zones' targets out of usable(), from which first sends, retries, hedged requests and resumed streams are all chosen. The targets stay in all() and atHost(), so load reports, the leader's ranks and the demand for experts count them as before. A group is about to open only if the ranks of evacuated zones report, too. A service of which all targets are evacuated refuses at once; the caller, who returns once, is told to do so as late as it waits. An entry takes requests and is ready only after the batch with the configuration and the evacuations has been applied.

--- a/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -52,14 +52,16 @@
 
   /**
    * Whether a closed group is about to open: all its ranks report, and report that they are closed.
-   * The group then opens after about 0.6 s more. While a rank is missing it may take any time.
+   * The group then opens after about 0.6 s more. While a rank is missing it may take any time; the
+   * ranks of an evacuated zone count, too, as the group does not open without them.
    *
-   * @param loads the loads of all targets of the service
+   * @param loads the loads of all targets of the service that take requests
    * @param now the current time, milliseconds
    */
   public static boolean areForming(Collection<TargetLoad> loads, long now) {
     return !loads.isEmpty()
-        && loads.stream().allMatch(load -> load.hasReport(now) && load.isClosed(now));
+        && loads.stream().allMatch(load -> load.hasReport(now) && load.isClosed(now))
+        && loads.stream().allMatch(load -> load.hasAllComputingRanks(now));
   }
 
   /**
--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -68,6 +69,12 @@
   private long backOffUntil = Long.MIN_VALUE;
   private boolean saysLeaving;
 
+  /**
+   * Written and read without the lock: a check of these loads while this one is locked could
+   * deadlock with a check of this one.
+   */
+  private volatile List<TargetLoad> computingOnly = List.of();
+
   /** Counts a request that this entry sends to the target. */
   public synchronized void onSent(long now) {
     ownInFlight++;
@@ -169,6 +176,26 @@
     group = Optional.of(openness);
   }
 
+  /**
+   * Sets the loads of those targets of the same service that take no requests because their zone is
+   * evacuated. If the targets are ranks of a group, these still step with it.
+   */
+  public void onComputingOnly(List<TargetLoad> loads) {
+    computingOnly = List.copyOf(loads);
+  }
+
+  /**
+   * Whether the target's group lacks none of the ranks that only compute: all of them have recent
+   * reports. True also for a target that belongs to no group.
+   */
+  boolean hasAllComputingRanks(long now) {
+    return !isInGroup() || computingOnly.stream().allMatch(load -> load.hasReport(now));
+  }
+
+  private synchronized boolean isInGroup() {
+    return group.isPresent();
+  }
+
   /** Whether a recent report of the group, or else of the target, says it accepts no requests. */
   public synchronized boolean isClosed(long now) {
     return reportedOpen(now).map(open -> !open).orElse(false);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -304,7 +304,14 @@
     }
     double random = ThreadLocalRandom.current().nextDouble();
     long left = routed.deadline() - now;
-    if (loads.isEmpty()) {
+    if (context.targets().isEvacuated(routed.service())) {
+      // An operator restores a zone after minutes rather than milliseconds, so the caller's only
+      // retry is best made as late as the caller waits.
+      end(
+          ResultCode.NO_TARGET,
+          RetryAdvice.whileClosed(left, random),
+          "all zones with targets of the service are evacuated");
+    } else if (loads.isEmpty()) {
       refuse(ResultCode.NO_TARGET, NO_TARGET_RETRY_MILLIS);
     } else if (isClosed) {
       refuse(ResultCode.NO_TARGET, RetryAdvice.whileClosed(left, random));
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.front;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.serving.EvacuatedZones;
 import dev.ibishub.core.serving.GroupOpenness;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
@@ -60,6 +61,8 @@
   private final Map<String, RetainedLoad> retainedLoadsByIncarnation = new HashMap<>();
   private volatile Map<String, List<ListedTarget>> usableByService = Map.of();
   private volatile Map<String, List<ListedTarget>> byHost = Map.of();
+  private volatile Set<String> evacuatedServices = Set.of();
+  private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private final Map<String, GroupOpenness> groups = new ConcurrentHashMap<>();
 
   /**
@@ -232,6 +235,27 @@
     retainedLoadsByIncarnation.put(gone.target().incarnation(), new RetainedLoad(gone.load(), now));
   }
 
+  /**
+   * Takes in which zones are out of service. Their targets take no new requests, but stay listed:
+   * they may be ranks, which keep stepping with their group.
+   */
+  public synchronized void onEvacuated(EvacuatedZones zones) {
+    evacuatedZones = zones;
+    updateIndexes();
+  }
+
+  /**
+   * Whether a service has targets that would take requests, but all of them are in evacuated zones.
+   */
+  public boolean isEvacuated(String service) {
+    return evacuatedServices.contains(service);
+  }
+
+  /** Returns the number of known targets in a zone. */
+  public synchronized int countIn(String zone) {
+    return (int) known.values().stream().filter(each -> zone.equals(each.target().zone())).count();
+  }
+
   /** Returns the targets of a service that take new requests; empty if there are none. */
   public List<ListedTarget> usable(String service) {
     return usableByService.getOrDefault(service, List.of());
@@ -295,16 +319,29 @@
         known.values().stream()
             .collect(Collectors.toMap(ListedTarget::address, each -> each, ListedTarget::later))
             .values();
-    Map<String, List<ListedTarget>> byService = new HashMap<>();
-    current.stream()
-        .filter(each -> !each.isLeaving())
-        .forEach(
-            each ->
-                byService
-                    .computeIfAbsent(each.target().service(), key -> new ArrayList<>())
-                    .add(each));
-    byService.replaceAll((service, targets) -> List.copyOf(targets));
-    usableByService = Map.copyOf(byService);
+    Map<Boolean, Map<String, List<ListedTarget>>> byEvacuation =
+        current.stream()
+            .filter(each -> !each.isLeaving())
+            .collect(
+                Collectors.partitioningBy(
+                    each -> evacuatedZones.contains(each.target().zone()),
+                    Collectors.groupingBy(
+                        each -> each.target().service(), Collectors.toUnmodifiableList())));
+    Map<String, List<ListedTarget>> usable = byEvacuation.get(false);
+    Map<String, List<ListedTarget>> evacuated = byEvacuation.get(true);
+    usable.forEach(
+        (service, targets) -> linkLoads(targets, evacuated.getOrDefault(service, List.of())));
+    usableByService = Map.copyOf(usable);
+    evacuatedServices =
+        evacuated.keySet().stream()
+            .filter(service -> !usable.containsKey(service))
+            .collect(Collectors.toUnmodifiableSet());
     byHost = current.stream().collect(Collectors.groupingBy(each -> each.target().host()));
   }
+
+  /** Tells the usable targets of a service which others only step with them. */
+  private static void linkLoads(List<ListedTarget> usable, List<ListedTarget> evacuated) {
+    List<TargetLoad> loads = evacuated.stream().map(ListedTarget::load).toList();
+    usable.forEach(each -> each.load().onComputingOnly(loads));
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.EvacuatedZones;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.EngineProfile;
@@ -139,4 +140,21 @@
 
     assertThat(orders).isNotEmpty();
   }
+
+  // Guards against expert maps that are made for the ranks that take requests only, or no longer at
+  // all, while ranks of an evacuated zone step with the group.
+  @Test
+  void ordersMapsAtRanksOfEvacuatedZone() {
+    targets.onAnnounced(new Target("t1", "models", host(1), 80, "y", 8, false, 2), RANKS);
+    targets.onEvacuated(EvacuatedZones.NONE.withEvacuated("y", 1));
+    controller.tick(true, 0);
+    reportMaps();
+    reportStates(50);
+    reportUnevenPicks();
+    reportStates(650);
+    controller.tick(true, 700);
+
+    assertThat(targets.usable("models")).hasSize(1);
+    assertThat(orders).extracting(RankOrder::targetId).contains("t0", "t1");
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -2,9 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.EvacuatedZones;
+import dev.ibishub.core.serving.TargetChoice;
+import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class TargetDirectoryTest {
@@ -167,4 +172,77 @@
 
     assertThat(ended).isEmpty();
   }
+
+  private static Target inZone(String id, String zone) {
+    return new Target(id, "pages", "10.0.1." + id, 80, zone, 6, false, 1);
+  }
+
+  // Guards against requests to targets that announce themselves after their zone was evacuated, and
+  // against targets that are forgotten because their zone was.
+  @Test
+  void targetsOfEvacuatedZonesStayListedButAreNotUsable() {
+    EvacuatedZones both = EvacuatedZones.NONE.withEvacuated("zone-b", 1).withEvacuated("zone-c", 2);
+    directory.onEvacuated(both);
+    directory.onAnnounced(inZone("1", "zone-a"), 3);
+    directory.onAnnounced(inZone("2", "zone-b"), 4);
+    directory.onAnnounced(inZone("3", "zone-c"), 5);
+
+    assertThat(directory.usable("pages"))
+        .extracting(known -> known.target().id())
+        .containsExactly("1");
+    assertThat(directory.all()).hasSize(3);
+    assertThat(directory.atHost("10.0.1.2")).hasSize(1);
+    assertThat(directory.countIn("zone-b")).isEqualTo(1);
+
+    directory.onEvacuated(both.withRestored("zone-b", 6));
+    assertThat(directory.usable("pages"))
+        .extracting(known -> known.target().id())
+        .containsExactlyInAnyOrder("1", "2");
+  }
+
+  @Test
+  void serviceIsEvacuatedIfItHasTargetsButOnlyInEvacuatedZones() {
+    EvacuatedZones zones = EvacuatedZones.NONE.withEvacuated("zone-a", 1);
+    directory.onEvacuated(zones);
+    assertThat(directory.isEvacuated("pages")).isFalse();
+
+    directory.onAnnounced(inZone("1", "zone-a"), 2);
+    assertThat(directory.isEvacuated("pages")).isTrue();
+    directory.onAnnounced(inZone("2", "zone-b"), 3);
+    assertThat(directory.isEvacuated("pages")).isFalse();
+    directory.onDropped("2", 0, 1_000);
+    assertThat(directory.isEvacuated("pages")).isTrue();
+
+    directory.onEvacuated(zones.withRestored("zone-a", 4));
+    assertThat(directory.isEvacuated("pages")).isFalse();
+  }
+
+  private void reportRank(String id, boolean isOpen, long at) {
+    directory.onReport(
+        "10.0.1." + id,
+        new TargetReport(0, 1, isOpen, at, Optional.of(new TargetReport.GroupMembership("g", 1))));
+  }
+
+  private List<TargetLoad> usableLoads() {
+    return directory.usable("pages").stream().map(TargetDirectory.ListedTarget::load).toList();
+  }
+
+  // Guards against requests that wait for a group to open although it lacks a rank. That rank was
+  // in an evacuated zone, so it took no requests, but the group does not open without it.
+  @Test
+  void ranksOfEvacuatedZoneCountForTheStateOfTheirGroup() {
+    directory.onEvacuated(EvacuatedZones.NONE.withEvacuated("zone-b", 1));
+    directory.onAnnounced(inZone("1", "zone-a"), 2);
+    directory.onAnnounced(inZone("2", "zone-b"), 3);
+    reportRank("1", false, 100);
+    assertThat(TargetChoice.areForming(usableLoads(), 150)).isFalse();
+
+    reportRank("2", false, 110);
+    assertThat(TargetChoice.areForming(usableLoads(), 150)).isTrue();
+    assertThat(TargetChoice.areClosed(usableLoads(), 150)).isTrue();
+
+    reportRank("2", true, 120);
+    assertThat(TargetChoice.areClosed(usableLoads(), 150)).isFalse();
+    assertThat(TargetChoice.areForming(usableLoads(), 150)).isFalse();
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -84,6 +84,7 @@
   private final CrashDetector crashes;
   private final TargetLimits limits;
   private final TargetDirectory targets;
+  private final CurrentEvacuations evacuations;
   private final NodeMetrics metrics;
   private final StoreClient store;
   private final StoreTopics topics;
@@ -112,6 +113,7 @@
             this::broadcast,
             PrometheusRegistry.defaultRegistry);
     targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded);
+    evacuations = new CurrentEvacuations(targets);
     stop = new GracefulStop(settings);
     budgets = new RetryBudgets(retryLimits(settings), startedAt, settings.isFirstStart());
     store =
@@ -121,6 +123,7 @@
         new StoreTopics(
             store,
             configuration,
+            evacuations,
             targets,
             new StoreTopics.Listener(
                 this::broadcast, host -> mesh().addHosts(List.of(host), MonotonicClock.millis())));
@@ -176,7 +179,7 @@
     return new CallerServer(
         new RequestContext(
             new HeaderDialect(),
-            configuration::get,
+            this::configurationForRequests,
             targets,
             budgets,
             new ServiceStatistics(),
@@ -253,10 +256,15 @@
         .toList();
   }
 
+  /** Returns the configuration in force; empty until the evacuations are known, too. */
+  private Optional<ServingConfiguration> configurationForRequests() {
+    return topics.areOperatorRecordsKnown() ? configuration.get() : Optional.empty();
+  }
+
   private boolean isReady() {
     return isListening
         && !stop.isLeaving()
-        && configuration.get().isPresent()
+        && configurationForRequests().isPresent()
         && topics.areTargetsKnown();
   }
 
@@ -322,6 +330,7 @@
         configuration.get().map(ServingConfiguration::version).orElse(0L),
         mesh.entries(now),
         mesh.leads(now));
+    metrics.onEvacuatedZones(evacuations.count());
   }
 
   /** Writes this entry's address to the store once, for entries that share no seed with it. */
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -12,6 +12,7 @@
   private final Gauge version;
   private final Gauge entries;
   private final Gauge leading;
+  private final Gauge evacuatedZones;
 
   NodeMetrics(PrometheusRegistry registry) {
     age =
@@ -35,6 +36,11 @@
             .name("ibishub_leading")
             .help("Whether this entry leads the groups.")
             .register(registry);
+    evacuatedZones =
+        Gauge.builder()
+            .name("ibishub_evacuated_zones")
+            .help("Zones that the operator has taken out of service, as known here.")
+            .register(registry);
     storeCalls =
         Counter.builder()
             .name("ibishub_store_calls_total")
@@ -57,6 +63,11 @@
     age.labelValues(topic).set(millis / 1_000.0);
   }
 
+  /** Sets the number of zones out of service. */
+  void onEvacuatedZones(int zones) {
+    evacuatedZones.set(zones);
+  }
+
   /** Sets the gauges of the configuration, entries and leadership. */
   void onState(long configurationVersion, int entriesAlive, boolean leads) {
     version.set((double) configurationVersion);
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -4,10 +4,12 @@
 import com.google.protobuf.ByteString;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.records.FollowerOptions;
+import dev.ibishub.gateway.records.KeyedRecord;
 import dev.ibishub.gateway.records.RecordBatch;
 import dev.ibishub.gateway.records.RecordFollower;
 import dev.ibishub.gateway.records.RecordFollower.RecordChange;
 import dev.ibishub.gateway.records.RecordMessages;
+import dev.ibishub.platform.OperatorRecords;
 import dev.ibishub.platform.StoreClient;
 import dev.ibishub.platform.TargetAnnouncementDecoder;
 import dev.ibishub.runtime.LogEvent;
@@ -30,9 +32,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Options for the operator's configuration. One entry keeps a long poll open, to which the store
-   * responds at once on a change and otherwise after the timeout; the others read only if they
-   * receive nothing from it.
+   * Options for the operator's configuration and evacuations of zones. One entry keeps a long poll
+   * open, to which the store responds at once on a change and otherwise after the timeout; the
+   * others read only if they receive nothing from it.
    */
   private static final FollowerOptions CONFIGURATION =
       new FollowerOptions(StoreClient.OPERATOR_TOPIC, 50, 1_300, 1_000);
@@ -52,8 +54,10 @@
       new FollowerOptions(StoreClient.ENTRIES_TOPIC, 5_000, 1_500, 0);
 
   private final CurrentConfiguration configuration;
+  private final CurrentEvacuations evacuations;
   private final TargetDirectory targets;
   private final Listener listener;
+  private final RecordFollower operatorFollower;
   private final RecordFollower targetFollower;
   private final List<RecordFollower> followers;
   private final Map<String, CachedSnapshot> snapshots = new ConcurrentHashMap<>();
@@ -74,11 +78,19 @@
   StoreTopics(
       StoreClient store,
       CurrentConfiguration configuration,
+      CurrentEvacuations evacuations,
       TargetDirectory targets,
       Listener listener) {
     this.configuration = configuration;
+    this.evacuations = evacuations;
     this.targets = targets;
     this.listener = listener;
+    this.operatorFollower =
+        new RecordFollower(
+            CONFIGURATION,
+            store,
+            this::onOperatorRecord,
+            batch -> broadcastBatch(CONFIGURATION, batch));
     this.targetFollower =
         new RecordFollower(
             TARGETS,
@@ -88,11 +100,7 @@
             TargetAnnouncementDecoder::isRenewal);
     this.followers =
         List.of(
-            new RecordFollower(
-                CONFIGURATION,
-                store,
-                this::onConfigurationRecord,
-                batch -> broadcastBatch(CONFIGURATION, batch)),
+            operatorFollower,
             targetFollower,
             new RecordFollower(
                 ENTRIES, store, this::onEntryRecord, batch -> broadcastBatch(ENTRIES, batch)));
@@ -113,6 +121,15 @@
     return targetFollower.isKnown();
   }
 
+  /**
+   * Whether the configuration and the evacuations have been received, from the store or another
+   * entry. They come in one batch, during which this method waits, so requests that are accepted
+   * only once it returns true are never sent to a zone whose evacuation is about to be applied.
+   */
+  boolean areOperatorRecordsKnown() {
+    return operatorFollower.isKnown();
+  }
+
   /** Passes each topic with the time since its local copy was confirmed, milliseconds. */
   void forEachAge(long now, BiConsumer<String, Long> consumer) {
     followers.forEach(follower -> consumer.accept(follower.topic(), follower.ageMillis(now)));
@@ -162,10 +179,13 @@
     listener.broadcast().accept(RecordMessages.frame(options.topic(), batch));
   }
 
-  private void onConfigurationRecord(RecordChange change) {
-    if (change.record().key().equals(StoreClient.CONFIGURATION_KEY)) {
-      configuration.onRecord(change.record());
+  private void onOperatorRecord(RecordChange change) {
+    KeyedRecord record = change.record();
+    if (record.key().equals(StoreClient.CONFIGURATION_KEY)) {
+      configuration.onRecord(record);
     }
+    OperatorRecords.evacuatedZone(record.key())
+        .ifPresent(zone -> evacuations.onRecord(zone, record));
   }
 
   private void onTargetRecord(RecordChange change) {
