Evacuate and restore zones by an operator's command

Cause: behind ibishub's own interface a whole zone could only be taken out of service target by target.

Change: ibishub evacuate ZONE and restore ZONE publish a part of the configuration of its own, so that publishing a base or an overlay from a file restores nothing; two orders at once both count. The follower tells the router before the revision is current. The router chooses no target in the zone and leaves such targets out of the estimated start and the cap on ejections. The status shows the zones, audit trail and history the orders.

Ruled out: a key of the base or an overlay, which the next publication from a file would drop unnoticed.

--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationDifference.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationDifference.java
@@ -31,7 +31,12 @@
     difference.compare("base", from.base(), to.base());
     TreeSet<String> sites = new TreeSet<>(from.overlays().keySet());
     sites.addAll(to.overlays().keySet());
-    sites.forEach(site -> difference.compare("overlay:" + site, from.text(site), to.text(site)));
+    sites.forEach(
+        site ->
+            difference.compare(
+                EvacuatedZonesPart.displayName(site).orElse("overlay:" + site),
+                from.text(site),
+                to.text(site)));
     return difference.changes;
   }
 
--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
@@ -15,8 +15,8 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -26,7 +26,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Follower of the configuration, which learns its revisions from the log and from peers and
@@ -59,7 +58,9 @@
   private final ConfigurationReader reader;
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
   private final List<Waiter> waiters = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Set<String>>> evacuationListeners = new CopyOnWriteArrayList<>();
   private volatile Configuration current;
+  private volatile Set<String> evacuatedZones = Set.of();
   private volatile boolean closed;
   private volatile long firstRetainedOffset;
   private final AtomicInteger failures = new AtomicInteger();
@@ -134,6 +135,20 @@
     return current;
   }
 
+  /** Returns the zones that operators have taken out of service, as far as this process knows. */
+  public Set<String> evacuatedZones() {
+    return evacuatedZones;
+  }
+
+  /**
+   * Adds a listener, which is called with the evacuated zones on each change, before a
+   * configuration of that revision is {@link #current}. To be added before {@link #start}.
+   * Listeners must not block.
+   */
+  public void addEvacuationListener(Consumer<Set<String>> listener) {
+    evacuationListeners.add(listener);
+  }
+
   /** Tells whether a configuration is known; until then, a process must refuse requests. */
   public boolean isKnown() {
     synchronized (lock) {
@@ -324,6 +339,7 @@
       long before = reader.state().revision();
       change.run();
       if (reader.state().revision() > before || (!wasKnown && reader.isKnown())) {
+        updateEvacuatedZones();
         mergedConfiguration().ifPresent(configuration -> current = configuration);
       }
     }
@@ -331,6 +347,18 @@
     completeWaiters();
   }
 
+  /**
+   * Tells the listeners which zones are evacuated. To be called before the configuration of the
+   * same revision is current: a request that is admitted by it must not go to an evacuated zone.
+   */
+  private void updateEvacuatedZones() {
+    Set<String> zones = EvacuatedZonesPart.zones(reader.state());
+    if (!zones.equals(evacuatedZones)) {
+      evacuatedZones = zones;
+      evacuationListeners.forEach(listener -> listener.accept(zones));
+    }
+  }
+
   /**
    * Notifies the listeners of a new revision. Updates from the log and from peers arrive on several
    * threads; without the lock a listener could receive an older revision after a newer one and keep
@@ -354,18 +382,11 @@
    */
   private Optional<Configuration> mergedConfiguration() {
     ConfigurationState state = reader.state();
-    Map<String, ConfigurationDocument.Source> overlays =
-        state.overlays().entrySet().stream()
-            .collect(
-                Collectors.toMap(
-                    Map.Entry::getKey,
-                    overlay ->
-                        new ConfigurationDocument.Source(
-                            "overlay " + overlay.getKey(), overlay.getValue())));
     try {
       return Optional.of(
           ConfigurationDocument.parse(
-                  new ConfigurationDocument.Source("base", state.base()), overlays)
+                  new ConfigurationDocument.Source("base", state.base()),
+                  EvacuatedZonesPart.overlaysOfSites(state))
               .merged(state.revision(), site));
     } catch (SettingsException e) {
       logger.atSevere().log(
--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationPublisher.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationPublisher.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.stream.Collectors;
 
 /**
  * Publisher of configuration changes. Thread-safe.
@@ -59,7 +58,8 @@
   }
 
   /**
-   * Publishes a complete new text of the base or of a site's overlay.
+   * Publishes a complete new text of the base, of a site's overlay or of the {@link
+   * EvacuatedZonesPart}.
    *
    * @param site the site whose overlay changes, or empty for the base
    * @param text the new text, JSON with comments
@@ -111,14 +111,13 @@
   }
 
   private static void requireValid(ConfigurationState state, String site, String text) {
-    Map<String, ConfigurationDocument.Source> overlays =
-        state.overlays().entrySet().stream()
-            .collect(
-                Collectors.toMap(
-                    Map.Entry::getKey, entry -> overlaySource(entry.getKey(), entry.getValue())));
+    if (site.equals(EvacuatedZonesPart.SITE)) {
+      return;
+    }
+    Map<String, ConfigurationDocument.Source> overlays = EvacuatedZonesPart.overlaysOfSites(state);
     String base = site.isEmpty() ? text : state.base();
     if (!site.isEmpty()) {
-      overlays.put(site, overlaySource(site, text));
+      overlays.put(site, new ConfigurationDocument.Source("overlay " + site, text));
     }
     try {
       ConfigurationDocument.parse(new ConfigurationDocument.Source("base", base), overlays);
@@ -130,10 +129,6 @@
     }
   }
 
-  private static ConfigurationDocument.Source overlaySource(String site, String text) {
-    return new ConfigurationDocument.Source("overlay " + site, text);
-  }
-
   /**
    * Waits for the verdict on a change after its append completed or failed. Except for {@code
    * LOG_UNAVAILABLE}, a failed append may still have taken effect with only its answer lost.
--- a/administration/src/main/java/dev/ibishub/administration/OperatorApi.java
+++ b/administration/src/main/java/dev/ibishub/administration/OperatorApi.java
@@ -30,6 +30,7 @@
   private final ConfigurationFollower follower;
   private final ConfigurationPublisher publisher;
   private final AuditTrail audit;
+  private final ZoneEvacuations evacuations;
   private final TargetOrders orders;
   private final Supplier<String> status;
   private final InstantSource clock;
@@ -43,6 +44,7 @@
       InstantSource clock) {
     this.follower = follower;
     this.publisher = publisher;
+    this.evacuations = new ZoneEvacuations(follower, publisher);
     this.audit = audit;
     this.orders = orders;
     this.status = status;
@@ -93,6 +95,9 @@
     if (call.path().startsWith("/targets/")) {
       return sendOrder(call);
     }
+    if (call.path().startsWith("/zones/")) {
+      return changeZone(call);
+    }
     if (call.path().equals("/configuration") && call.method().equals("POST")) {
       return publish(call);
     }
@@ -137,7 +142,10 @@
             .put("at", state.at().toString())
             .put("base", state.base());
     ObjectNode overlays = node.putObject("overlays");
-    state.overlays().forEach(overlays::put);
+    EvacuatedZonesPart.overlaysOfSites(state)
+        .forEach((site, source) -> overlays.put(site, source.text()));
+    ArrayNode zones = node.putArray("evacuatedZones");
+    EvacuatedZonesPart.zones(state).stream().sorted().forEach(zones::add);
     return node;
   }
 
@@ -174,7 +182,7 @@
     return Json.object()
         .put("revision", event.revision())
         .put("result", event.result().name())
-        .put("part", event.site().isEmpty() ? "base" : OVERLAY_PREFIX + event.site())
+        .put("part", partName(event.site()))
         .put("author", event.author())
         .put("at", event.at().toString())
         .put("basedOnRevision", event.basedOnRevision())
@@ -183,6 +191,12 @@
         .put("detail", event.detail());
   }
 
+  private static String partName(String site) {
+    return site.isEmpty()
+        ? "base"
+        : EvacuatedZonesPart.displayName(site).orElse(OVERLAY_PREFIX + site);
+  }
+
   private static String auditJson(List<AuditEntry> entries) {
     ArrayNode array = Json.array();
     entries.forEach(entry -> array.insert(0, AuditTrail.toJson(entry)));
@@ -221,6 +235,7 @@
     String kind = body.path("kind").asText();
     boolean isOverlay = kind.startsWith(OVERLAY_PREFIX) && kind.length() > OVERLAY_PREFIX.length();
     return (kind.equals("base") || isOverlay)
+        && !kind.equals(OVERLAY_PREFIX + EvacuatedZonesPart.SITE)
         && body.path("basedOnRevision").canConvertToLong()
         && body.path("basedOnRevision").isIntegralNumber()
         && body.path("content").isTextual();
@@ -246,6 +261,36 @@
         .thenApply(ignored -> Json.object().put("target", target).put("order", order).toString());
   }
 
+  private CompletableFuture<String> changeZone(OperatorCall call) {
+    String[] parts = call.path().split("/", -1);
+    boolean isKnownPath =
+        parts.length == 4
+            && !parts[2].isEmpty()
+            && (parts[3].equals("evacuate") || parts[3].equals("restore"));
+    if (!isKnownPath) {
+      throw new ResultException(ResultCode.NOT_FOUND, "no path " + call.path());
+    }
+    requireMethod(call, "POST");
+    requireOperator(call);
+    String zone = parts[2];
+    String action = parts[3];
+    String operator = call.operator().name();
+    long revisionInForce = follower.state().revision();
+    return (action.equals("evacuate")
+            ? evacuations.evacuate(zone, operator)
+            : evacuations.restore(zone, operator))
+        .whenComplete(
+            (result, failure) ->
+                recordInAuditTrail(call, action, "zone:" + zone, revisionInForce, failure))
+        .thenApply(
+            result ->
+                Json.object()
+                    .put("zone", zone)
+                    .put("order", action)
+                    .put("revision", result.revision())
+                    .toString());
+  }
+
   private void recordInAuditTrail(
       OperatorCall call, String action, String subject, long basedOnRevision, Throwable failure) {
     ResultCode result = failure == null ? ResultCode.OK : toResultException(failure).code();
--- a/cli/src/test/java/dev/ibishub/cli/CommandLineTest.java
+++ b/cli/src/test/java/dev/ibishub/cli/CommandLineTest.java
@@ -133,6 +133,8 @@
     "status,                          GET /admin/v1/status t",
     "drain vake-1,                    POST /admin/v1/targets/vake-1/drain t",
     "undrain vake-1,                  POST /admin/v1/targets/vake-1/undrain t",
+    "evacuate vake,                   POST /admin/v1/zones/vake/evacuate t",
+    "restore vake,                    POST /admin/v1/zones/vake/restore t",
     "addresses,                       GET /v1/addresses k",
     "send --service panel --path /q,  GET /services/panel/q k",
   })
@@ -226,6 +228,8 @@
     "publish --based-on 1 --overlay nofile",
     "drain",
     "drain ../x",
+    "evacuate",
+    "restore ../x",
     "show --output xml",
     "show --unknown",
     "validate --base-file /no/such/file",
--- a/core/src/main/java/dev/ibishub/core/Router.java
+++ b/core/src/main/java/dev/ibishub/core/Router.java
@@ -46,6 +46,7 @@
   private final CacheHints cacheHints;
   private final Object ejectionLock = new Object();
   private volatile int entries = 1;
+  private volatile Set<String> evacuatedZones = Set.of();
 
   private Router(RouterOptions options) {
     this.options = options;
@@ -66,6 +67,15 @@
     entries = Math.max(1, count);
   }
 
+  /**
+   * Sets the zones that are out of service. No target there is chosen; what runs there goes on.
+   *
+   * @param zones names of the zones, which may have no targets
+   */
+  public void setEvacuatedZones(Set<String> zones) {
+    evacuatedZones = Set.copyOf(zones);
+  }
+
   /**
    * Applies a target's report, unless it was measured before the last one.
    *
@@ -182,7 +192,7 @@
     double[] waits =
         known
             .sample()
-            .filter(target -> target.isEligible(now))
+            .filter(target -> target.isEligible(now) && !isEvacuated(target))
             .mapToDouble(target -> target.waitSeconds(entries, now))
             .sorted()
             .toArray();
@@ -222,8 +232,14 @@
         .map(ScoredTarget::state);
   }
 
-  private static boolean mayTake(TargetState state, RouteQuery query, Instant now) {
-    return !query.excluded().contains(state.target()) && state.isEligible(now);
+  private boolean mayTake(TargetState state, RouteQuery query, Instant now) {
+    return !query.excluded().contains(state.target())
+        && state.isEligible(now)
+        && !isEvacuated(state);
+  }
+
+  private boolean isEvacuated(TargetState state) {
+    return evacuatedZones.contains(state.status().zone());
   }
 
   private double cost(Candidate candidate, RouteQuery query, Instant now) {
@@ -237,12 +253,13 @@
 
   /**
    * Checks the cap on ejections. Without it, a fault that all targets share, such as a bad release,
-   * would eject all of them.
+   * would eject all of them. Targets in evacuated zones take no work and so don't count.
    */
   private boolean mayBeEjected(TargetState state, Instant now) {
     return state.status().served().stream()
         .map(this::servedTargets)
-        .allMatch(served -> isBelowEjectionCap(served.all(), now));
+        .map(served -> served.all().stream().filter(each -> !isEvacuated(each)).toList())
+        .allMatch(targetsInService -> isBelowEjectionCap(targetsInService, now));
   }
 
   private boolean isBelowEjectionCap(List<TargetState> all, Instant now) {
--- a/core/src/test/java/dev/ibishub/core/RouterTest.java
+++ b/core/src/test/java/dev/ibishub/core/RouterTest.java
@@ -119,6 +119,41 @@
     assertThat(router.choose(query(0, Set.of()), NOW, random)).isEmpty();
   }
 
+  /**
+   * Guards against work that is sent into a zone out of service, by the choice of random targets or
+   * because a target there is likely to have the prefix cached.
+   */
+  @Test
+  void doesNotChooseTargetsOfEvacuatedZoneUntilItIsRestored() {
+    reportAll(0, 0);
+    router.report(inZone("away", "target-0"), NOW);
+    router.report(inZone("away", "target-1"), NOW);
+    router.cacheReport("target-0", List.of(7L), List.of());
+    router.setEvacuatedZones(Set.of("away", "unknown"));
+
+    assertThat(chosenTargets(200)).hasSize(TARGETS - 2).doesNotContain("target-0", "target-1");
+    assertThat(
+            IntStream.range(0, 50)
+                .mapToObj(number -> router.choose(query(7, Set.of()), NOW, random).orElseThrow()))
+        .doesNotContain("target-0", "target-1");
+
+    router.setEvacuatedZones(Set.of());
+    assertThat(chosenTargets(200)).contains("target-0", "target-1");
+  }
+
+  @Test
+  void choosesNoTargetWhileAllZonesAreEvacuated() {
+    reportAll(0, 0);
+    router.setEvacuatedZones(Set.of("zone"));
+
+    assertThat(router.choose(query(0, Set.of()), NOW, random)).isEmpty();
+    assertThat(router.estimatedStart("model", NOW)).isEmpty();
+  }
+
+  private static TargetStatus inZone(String zone, String target) {
+    return new TargetStatus(target, zone, false, true, 0, 0, 10, 0, 1000, Set.of("model"), NOW);
+  }
+
   private void reportAll(int queued, double queuedTokens) {
     IntStream.range(0, TARGETS)
         .forEach(
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -38,6 +38,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -177,6 +179,7 @@
   }
 
   private void startServing() {
+    configuration.addEvacuationListener(this::onEvacuatedZones);
     configuration.start();
     OrderSender orders = newOrderSender();
     addEndpoints(orders);
@@ -204,6 +207,10 @@
         "ibishub_entry_configuration_revision",
         "Revision in force here.",
         () -> configuration.current().revision());
+    metrics.gauge(
+        "ibishub_entry_evacuated_zones",
+        "Zones out of service, as known here.",
+        () -> configuration.evacuatedZones().size());
   }
 
   private CallerEndpoints newCallerEndpoints() {
@@ -276,6 +283,11 @@
         configuration, publisher, AuditTrail.on(log), orders, status::json, clock);
   }
 
+  private void onEvacuatedZones(Set<String> zones) {
+    router.setEvacuatedZones(zones);
+    logger.atInfo().log("%s", LogEvent.of("zones.evacuated").with("zones", new TreeSet<>(zones)));
+  }
+
   private boolean isServing() {
     return !refusingRequests;
   }
--- a/entry/src/main/java/dev/ibishub/entry/StatusDocument.java
+++ b/entry/src/main/java/dev/ibishub/entry/StatusDocument.java
@@ -38,6 +38,8 @@
     status.put("site", current.site());
     status.put("revision", current.revision());
     status.put("configurationKnown", configuration.isKnown());
+    ArrayNode zones = status.putArray("evacuatedZones");
+    configuration.evacuatedZones().stream().sorted().forEach(zones::add);
     ArrayNode entries = status.putArray("entries");
     addEntry(entries, membership.self());
     membership.digest(clock.instant()).stream()
@@ -60,7 +62,7 @@
         .put("load", member.load());
   }
 
-  private static void addTarget(ArrayNode list, TargetReport report) {
+  private void addTarget(ArrayNode list, TargetReport report) {
     list.addObject()
         .put("target", report.getTarget())
         .put("zone", report.getZone())
@@ -72,10 +74,13 @@
         .put("served", String.join(" ", report.getServedList()));
   }
 
-  private static String state(TargetReport report) {
+  private String state(TargetReport report) {
     if (report.getLeaving()) {
       return "leaving";
     }
+    if (configuration.evacuatedZones().contains(report.getZone())) {
+      return "evacuated";
+    }
     return report.getEngineReachable() ? "serving" : "unreachable";
   }
 }
