--- a/bin/lib/cluster.sh
+++ b/bin/lib/cluster.sh
@@ -173,6 +173,16 @@
   done
 }
 
+# wait_evacuated ENTRY_NUMBER COUNT: waits until the entry knows so many evacuated zones.
+wait_evacuated() {
+  local tries=0
+  until http GET "${PORTS[entry-$1]}" /metrics | grep -q "^ibishub_entry_evacuated_zones $2"; do
+    tries=$((tries + 1))
+    [ "$tries" -lt 200 ] || { echo "cluster: entry-$1 does not know $2 evacuated zones" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
 # mixed_steps: prints how many steps of the group used two maps, as the engine recorded.
 mixed_steps() {
   http GET "${PORTS[group-0]}" /control/group | sed -n 's/.*"mixedStepCount":\([0-9]*\).*/\1/p'
