--- a/node/src/main/java/dev/ibishub/node/CurrentEvacuations.java
+++ b/node/src/main/java/dev/ibishub/node/CurrentEvacuations.java
@@ -8,7 +8,8 @@
 
 /**
  * The zones that the operator has taken out of service, by the newest record of each. Thread-safe
- * by one lock. Used on the users' platform; behind ibishub's own interface there is no counterpart.
+ * by one lock. Used on the users' platform; behind ibishub's own interface they are a part of the
+ * published configuration, which {@code dev.ibishub.administration.ConfigurationFollower} follows.
  */
 final class CurrentEvacuations {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
@@ -84,8 +84,8 @@
                   Key.text(
                       "role",
                       TextFormats.oneOf("viewer", "operator", "admin"),
-                      "What the operator may do: viewer reads, operator also publishes and drains,"
-                          + " admin may do all.")),
+                      "What the operator may do: viewer reads, operator also publishes, drains and"
+                          + " evacuates, admin may do all.")),
               "Who may use the operator API."),
           Key.integer("maximumBodyBytes", "bytes", 1, 1 << 30, "Largest body of a request.")
               .defaultingTo(1_048_576L),
--- a/settings/src/main/java/dev/ibishub/settings/OperatorSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/OperatorSettings.java
@@ -14,7 +14,7 @@
   public enum Role {
     /** Reads configuration, status and audit trail. */
     VIEWER,
-    /** Also publishes configuration and drains targets. */
+    /** Also publishes configuration, drains targets and evacuates zones. */
     OPERATOR,
     /** Reserved for administrative actions of later releases; also has all permissions above. */
     ADMIN
