Read the counts of ranks that take requests

Cause: the leader reads the expert counts of at most 16 ranks of a group, every second, third, ... one by number. Where zones follow the numbers, all of these may be in one zone. Once it is evacuated its ranks get no requests and count nothing; no demand is seen and the group keeps its map.

Change: the sample is spread over the ranks that take requests, or over all if none does. Counts of ranks that left the sample are discarded, as they are not renewed. Without an evacuation the sample is the same as before.

Measured: ExpertControllerTest#readsCountsOfRanksThatTakeRequests (32 ranks, 2 zones) was seen to fail before and passes, mvn -o -q -pl gateway -am test.

--- a/core/src/main/java/dev/ibishub/core/ranks/ExpertDemand.java
+++ b/core/src/main/java/dev/ibishub/core/ranks/ExpertDemand.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -64,6 +65,11 @@
     }
   }
 
+  /** Discards the samples of all ranks but these. */
+  public void retainRanks(Collection<Integer> ranks) {
+    samplesByRank.keySet().retainAll(ranks);
+  }
+
   /** Returns the number of ranks whose samples span at least half of the window. */
   public int ranksKnown() {
     return (int)
--- a/core/src/test/java/dev/ibishub/core/ranks/ExpertDemandTest.java
+++ b/core/src/test/java/dev/ibishub/core/ranks/ExpertDemandTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class ExpertDemandTest {
@@ -38,4 +39,18 @@
     assertThat(demand.ranksKnown()).isZero();
     assertThat(demand.total()).isZero();
   }
+
+  // Guards against demand that stands still: what a rank counted before its counts were no longer
+  // read stayed part of the sum.
+  @Test
+  void discardsSamplesOfRanksThatAreNotRetained() {
+    for (int rank = 0; rank < 2; rank++) {
+      demand.onCounts(rank, 1, new long[] {0, 0}, 0);
+      demand.onCounts(rank, 1, new long[] {10, rank}, 300);
+    }
+    demand.retainRanks(Set.of(1));
+
+    assertThat(demand.ranksKnown()).isEqualTo(1);
+    assertThat(demand.tokens()[0]).containsExactly(10, 1);
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -105,6 +105,7 @@
               membership.size(),
               profile.get(),
               () -> pauseObjectiveMillis(target.get().service()),
+              each -> !targets.isInEvacuatedZone(each),
               orderSender,
               tokens,
               clock,
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupRebalancer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupRebalancer.java
@@ -21,8 +21,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -58,9 +61,9 @@
   static final double GOOD_SKEW = 1.1;
 
   /**
-   * Most ranks of a group whose expert counts are read. The demand is the same at all ranks, and
-   * the counts of 72 ranks with 12 sets of 144 experts would be a million numbers a second for the
-   * leading entry.
+   * Most ranks of a group whose expert counts are read. The demand is the same at all ranks that
+   * take requests, and the counts of 72 ranks with 12 sets of 144 experts would be a million
+   * numbers a second for the leading entry.
    */
   static final int MAX_SAMPLED_RANKS = 16;
 
@@ -79,6 +82,7 @@
   private final int size;
   private final EngineProfile profile;
   private final LongSupplier pauseObjectiveMillis;
+  private final Predicate<Target> takesRequests;
   private final RankOrderSender orderSender;
   private final InstantSource clock;
   private final Object lock;
@@ -88,6 +92,7 @@
   private final Map<Integer, Double> slowdownByRank = new HashMap<>();
   private final Map<String, RankEngine.HeldMap> heldByHost;
   private final long salt = ThreadLocalRandom.current().nextLong(1L << SALT_BITS);
+  private Set<Integer> sampledRanks;
   private Optional<GroupMap> plannedMap = Optional.empty();
   private long plannedVersion;
   private MapSwitch.Phase loggedPhase = MapSwitch.Phase.IDLE;
@@ -101,6 +106,7 @@
       int size,
       EngineProfile profile,
       LongSupplier pauseObjectiveMillis,
+      Predicate<Target> takesRequests,
       RankOrderSender orderSender,
       FencingTokenSource tokens,
       InstantSource clock,
@@ -110,12 +116,14 @@
     this.size = size;
     this.profile = profile;
     this.pauseObjectiveMillis = pauseObjectiveMillis;
+    this.takesRequests = takesRequests;
     this.orderSender = orderSender;
     this.clock = clock;
     this.heldByHost = heldByHost;
     this.lock = lock;
     this.mapSwitch = new MapSwitch(size, tokens);
     this.demand = new ExpertDemand(profile.layers(), profile.experts(), DEMAND_WINDOW_MILLIS);
+    this.sampledRanks = chooseSample();
   }
 
   /** Whether this instance was created for a group of this size and engine profile. */
@@ -146,17 +154,57 @@
 
   /** Whether expert counts from a host are needed. They are until the host's rank is known. */
   boolean wantsPicks(String host) {
-    return rankAt(host).map(rank -> rank % samplingStride() == 0).orElse(true);
+    return rankAt(host).map(sampledRanks::contains).orElse(true);
   }
 
-  /** Distance between two sampled ranks. */
-  private int samplingStride() {
-    return (size + MAX_SAMPLED_RANKS - 1) / MAX_SAMPLED_RANKS;
+  /**
+   * Returns the ranks whose counts are read, evenly spread over those that take requests. The ranks
+   * of an evacuated zone count nothing, and all samples could be in that zone.
+   */
+  private Set<Integer> chooseSample() {
+    int[] serving = servingRanks();
+    int stride = samplingStride(serving.length);
+    return IntStream.range(0, serving.length)
+        .filter(index -> index % stride == 0)
+        .mapToObj(index -> serving[index])
+        .collect(Collectors.toSet());
+  }
+
+  /** Returns the ranks that take requests, or all ranks if none does. */
+  private int[] servingRanks() {
+    int[] serving =
+        IntStream.range(0, size)
+            .filter(
+                rank ->
+                    Optional.ofNullable(targetByRank.get(rank))
+                        .map(takesRequests::test)
+                        .orElse(true))
+            .toArray();
+    return serving.length > 0 ? serving : IntStream.range(0, size).toArray();
+  }
+
+  /** Returns the distance between two sampled ranks among those that take requests. */
+  private static int samplingStride(int serving) {
+    return (serving + MAX_SAMPLED_RANKS - 1) / MAX_SAMPLED_RANKS;
+  }
+
+  /** Drops what ranks counted that are no longer sampled; it would never be renewed. */
+  private void updateSample() {
+    Set<Integer> sampled = chooseSample();
+    if (!sampled.equals(sampledRanks)) {
+      sampledRanks = sampled;
+      demand.retainRanks(sampled);
+    }
+  }
+
+  private boolean isDemandKnown() {
+    int serving = servingRanks().length;
+    return demand.ranksKnown() >= LEAST_SHARE_KNOWN * serving / samplingStride(serving);
   }
 
   void tick(long now) {
-    if (mapSwitch.isReady(now)
-        && demand.ranksKnown() >= LEAST_SHARE_KNOWN * size / samplingStride()) {
+    updateSample();
+    if (mapSwitch.isReady(now) && isDemandKnown()) {
       plan(demand.tokens(), now);
     }
     mapSwitch.tick(now).forEach(this::send);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -62,7 +62,7 @@
   private volatile Map<String, List<ListedTarget>> usableByService = Map.of();
   private volatile Map<String, List<ListedTarget>> byHost = Map.of();
   private volatile Set<String> evacuatedServices = Set.of();
-  private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
+  private volatile EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private final Map<String, GroupOpenness> groups = new ConcurrentHashMap<>();
 
   /**
@@ -251,6 +251,11 @@
     return evacuatedServices.contains(service);
   }
 
+  /** Whether a target takes no requests because its zone is evacuated. */
+  public boolean isInEvacuatedZone(Target target) {
+    return evacuatedZones.contains(target.zone());
+  }
+
   /** Returns the number of known targets in a zone. */
   public synchronized int countIn(String zone) {
     return (int) known.values().stream().filter(each -> zone.equals(each.target().zone())).count();
--- a/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/ExpertControllerTest.java
@@ -15,7 +15,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -62,9 +65,8 @@
 
   private void reportStates(long now) {
     for (int rank = 0; rank < RANKS; rank++) {
-      RankState.Membership membership =
-          new RankState.Membership("g", 2, rank, RANKS, true, 7, 0, 0, 0, 0, OptionalLong.empty());
-      controller.onState(host(rank), new RankState(3, 0, 1, Optional.of(membership)), now);
+      controller.onState(
+          host(rank), new RankState(3, 0, 1, Optional.of(membership(rank, RANKS))), now);
     }
   }
 
@@ -157,4 +159,50 @@
     assertThat(targets.usable("models")).hasSize(1);
     assertThat(orders).extracting(RankOrder::targetId).contains("t0", "t1");
   }
+
+  // Guards against a group that keeps its map because no demand is seen. Only some ranks' counts
+  // are
+  // read; these were all in the evacuated zone, whose ranks get no requests and so count nothing.
+  @Test
+  void readsCountsOfRanksThatTakeRequests() {
+    int ranks = 2 * GroupRebalancer.MAX_SAMPLED_RANKS;
+    for (int rank = 0; rank < ranks; rank++) {
+      targets.onAnnounced(
+          new Target("t" + rank, "models", host(rank), 80, "z" + rank % 2, 8, false, 2), rank);
+    }
+    controller.tick(true, 0);
+    IntStream.range(0, ranks)
+        .forEach(
+            rank ->
+                controller.onState(
+                    host(rank), new RankState(3, 0, 1, Optional.of(membership(rank, ranks))), 50));
+    controller.tick(true, 100);
+    assertThat(hostsToRead(ranks)).isEqualTo(hostsOfEvery(2, 0, ranks));
+
+    targets.onEvacuated(EvacuatedZones.NONE.withEvacuated("z0", 1));
+    controller.tick(true, 200);
+    assertThat(hostsToRead(ranks)).isEqualTo(hostsOfEvery(2, 1, ranks));
+
+    targets.onEvacuated(EvacuatedZones.NONE.withEvacuated("z0", 1).withEvacuated("z1", 2));
+    controller.tick(true, 300);
+    assertThat(hostsToRead(ranks)).isEqualTo(hostsOfEvery(2, 0, ranks));
+  }
+
+  private Set<String> hostsToRead(int ranks) {
+    return IntStream.range(0, ranks)
+        .mapToObj(ExpertControllerTest::host)
+        .filter(controller::wantsPicks)
+        .collect(Collectors.toSet());
+  }
+
+  private static Set<String> hostsOfEvery(int step, int first, int ranks) {
+    return IntStream.range(0, ranks)
+        .filter(rank -> rank % step == first)
+        .mapToObj(ExpertControllerTest::host)
+        .collect(Collectors.toSet());
+  }
+
+  private static RankState.Membership membership(int rank, int ranks) {
+    return new RankState.Membership("g", 2, rank, ranks, true, 7, 0, 0, 0, 0, OptionalLong.empty());
+  }
 }
