Add settings for the bound of cold targets

The platform states on some deployments by how much one second may exceed the rate that a cold target tolerates. Without both values the rate itself is the bound.

--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -30,6 +30,9 @@
  * @param retryWindowSeconds the length of the retry window, seconds
  * @param metricsPort the port for metrics; 0 for no metrics
  * @param isFirstStart whether the whole system starts for the first time
+ * @param coldOverrun the factor by which one second may exceed the rate that a cold target
+ *     tolerates
+ * @param coldSlack the requests that one second may have beyond that
  */
 public record NodeSettings(
     String processId,
@@ -49,7 +52,9 @@
     double sharedRetryAllowance,
     int retryWindowSeconds,
     int metricsPort,
-    boolean isFirstStart) {
+    boolean isFirstStart,
+    double coldOverrun,
+    double coldSlack) {
 
   static final ObjectSchema SCHEMA =
       ObjectSchema.of(
@@ -101,7 +106,21 @@
               .defaultingTo(10L),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
           Key.flag("firstStart", "Whether the whole system starts for the first time.")
-              .defaultingTo(false));
+              .defaultingTo(false),
+          Key.number(
+                  "coldOverrun",
+                  "",
+                  1,
+                  1_000,
+                  "Factor by which one second may exceed the rate that a cold target tolerates.")
+              .defaultingTo(1.0),
+          Key.number(
+                  "coldSlack",
+                  "",
+                  0,
+                  1_000_000,
+                  "Requests that one second may have beyond that at a cold target.")
+              .defaultingTo(0.0));
 
   private static final Map<String, Function<NodeSettings, Object>> FIXED_KEYS =
       Map.of(
@@ -173,7 +192,9 @@
         sharedRetryAllowance,
         retryWindowSeconds,
         other.metricsPort,
-        isFirstStart);
+        isFirstStart,
+        coldOverrun,
+        coldSlack);
   }
 
   private static void check(Section root, List<Fault> faults) {
@@ -209,6 +230,8 @@
         root.number("sharedRetryAllowance"),
         root.integer("retryWindowSeconds"),
         root.integer("metricsPort"),
-        root.flag("firstStart"));
+        root.flag("firstStart"),
+        root.number("coldOverrun"),
+        root.number("coldSlack"));
   }
 }
