Keep the limit of cold targets

A target that has just started, or that turned cold again, crashes above the rate that the configuration of its service states, and a crashed rank stops its group. Nothing read that rate or the remaining time in the targets' records.

The directory stores the end of a cold period as a point in time and tells TargetLimits before the target gets further requests. A record that differs only in the remaining time is forwarded only if it extends the period by more than a margin of 250 ms; otherwise it is a renewal, as before. The entries among which the limit is divided are those heard, those that the store lists and the seeds.

New: log events target.cold and target.warm, metric ibishub_withheld_from_cold_targets_total.

--- /dev/null
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
@@ -0,0 +1,17 @@
+package dev.ibishub.gateway.front;
+
+import dev.ibishub.gateway.model.Target;
+
+/** Receives statements that targets are cold, before the targets get further requests. */
+@FunctionalInterface
+public interface ColdListener {
+  /**
+   * Called with each statement.
+   *
+   * @param target the target that is cold
+   * @param wasInUse whether it was known before and not cold, also in an earlier incarnation
+   * @param until when it stops being cold, on the monotonic clock, milliseconds
+   * @param now the current time, milliseconds
+   */
+  void onCold(Target target, boolean wasInUse, long until, long now);
+}
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.MonotonicClock;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -54,8 +55,16 @@
    */
   static final long OUTAGE_MILLIS = 2_000;
 
+  /**
+   * Time that is added to the end of a cold period as a record states it, milliseconds. Later
+   * records that extend it by less change nothing, as records are read up to half a second late and
+   * each change has to be forwarded to all entries.
+   */
+  static final long COLD_MARGIN_MILLIS = 250;
+
   private final String ownZone;
   private final Consumer<String> onIncarnationEnded;
+  private final ColdListener coldListener;
   private final Map<String, ListedTarget> known = new HashMap<>();
   private final Map<String, RetainedLoad> retainedLoadsByIncarnation = new HashMap<>();
   private volatile Map<String, List<ListedTarget>> usableByService = Map.of();
@@ -114,8 +123,21 @@
    *     once its successor at the same address is announced; see {@link Target#incarnation}
    */
   public TargetDirectory(String ownZone, Consumer<String> onIncarnationEnded) {
+    this(ownZone, onIncarnationEnded, (target, wasInUse, until, now) -> {});
+  }
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param ownZone the failure domain of this process
+   * @param onIncarnationEnded as above
+   * @param coldListener called with each statement that a target is cold
+   */
+  public TargetDirectory(
+      String ownZone, Consumer<String> onIncarnationEnded, ColdListener coldListener) {
     this.ownZone = ownZone;
     this.onIncarnationEnded = onIncarnationEnded;
+    this.coldListener = coldListener;
   }
 
   public String ownZone() {
@@ -135,7 +157,16 @@
       return;
     }
     TargetLoad load = isNewIncarnation ? takeRetainedLoad(target.incarnation()) : before.load();
-    ListedTarget announced = new ListedTarget(target, load, Long.MAX_VALUE, offset);
+    long now = MonotonicClock.millis();
+    if (isColdLonger(target, load, now)) {
+      long until = now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+      boolean wasInUse = before != null && !before.load().isCold(now);
+      load.onCold(until);
+      coldListener.onCold(target, wasInUse, until, now);
+    }
+    // The load holds the end of the cold period; the remaining time is true only for an instant.
+    ListedTarget announced =
+        new ListedTarget(target.withColdRemainingMillis(0), load, Long.MAX_VALUE, offset);
     if (isNewIncarnation) {
       predecessors(announced).map(each -> each.target().incarnation()).forEach(onIncarnationEnded);
     }
@@ -153,11 +184,24 @@
     boolean isAddressShared =
         known.values().stream().filter(each -> each.address().equals(announced.address())).count()
             > 1;
-    if (before == null || !before.target().equals(target) || isAddressShared) {
+    if (before == null || !before.target().equals(announced.target()) || isAddressShared) {
       updateIndexes();
     }
   }
 
+  /**
+   * Whether a record extends the cold period of a known target, so that it is news for the other
+   * entries even if it only renews an earlier record.
+   */
+  public synchronized boolean extendsColdPeriod(Target target) {
+    ListedTarget before = known.get(target.id());
+    return before != null && isColdLonger(target, before.load(), MonotonicClock.millis());
+  }
+
+  private static boolean isColdLonger(Target target, TargetLoad load, long now) {
+    return target.coldRemainingMillis() > 0 && !load.isCold(now + target.coldRemainingMillis());
+  }
+
   private TargetLoad takeRetainedLoad(String incarnation) {
     RetainedLoad retained = retainedLoadsByIncarnation.remove(incarnation);
     return retained == null ? new TargetLoad() : retained.load();
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
@@ -1,8 +1,10 @@
 package dev.ibishub.gateway.front;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.LimitStatement;
 import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.Frame;
@@ -10,31 +12,63 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
- * Registry of the request limits that targets announce, shared with the other entries. Thread-safe.
+ * Registry of the request limits that targets announce, shared with the other entries, and of those
+ * of cold targets. Thread-safe.
  */
-public final class TargetLimits {
+public final class TargetLimits implements ColdListener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final SharedLimits limits;
   private final Consumer<Frame> broadcast;
+  private final Function<String, Optional<ColdLimit>> coldLimits;
   private final Counter sends;
+  private final Counter withheld;
+
+  /** The services of the cold targets, by incarnation of the target. */
+  private final Map<String, String> coldServices = new ConcurrentHashMap<>();
 
   /**
-   * Creates a registry.
+   * Creates a registry without limits for cold targets.
    *
    * @param limits the known limits
    * @param broadcast sends a message to all linked entries
    * @param registry where the metrics are registered
    */
   public TargetLimits(SharedLimits limits, Consumer<Frame> broadcast, PrometheusRegistry registry) {
+    this(limits, broadcast, service -> Optional.empty(), registry);
+  }
+
+  /**
+   * Creates a registry.
+   *
+   * @param limits the known limits
+   * @param broadcast sends a message to all linked entries
+   * @param coldLimits returns the limit in force of a service's cold targets; empty for none
+   * @param registry where the metrics are registered
+   */
+  public TargetLimits(
+      SharedLimits limits,
+      Consumer<Frame> broadcast,
+      Function<String, Optional<ColdLimit>> coldLimits,
+      PrometheusRegistry registry) {
     this.limits = limits;
     this.broadcast = broadcast;
+    this.coldLimits = coldLimits;
+    withheld =
+        Counter.builder()
+            .name("ibishub_withheld_from_cold_targets_total")
+            .help("Times that a cold target was left out for a request, by service.")
+            .labelNames("service")
+            .register(registry);
     sends =
         Counter.builder()
             .name("ibishub_sends_to_limited_targets_total")
@@ -45,9 +79,49 @@
 
   /** Whether this entry may send a request to a target now. */
   boolean allows(String targetIncarnation, long now) {
+    String coldService = coldServices.get(targetIncarnation);
+    if (coldService != null && !limits.allowsCold(targetIncarnation, now)) {
+      withheld.labelValues(coldService).inc();
+      return false;
+    }
     return limits.allows(targetIncarnation, now);
   }
 
+  @Override
+  public void onCold(Target target, boolean wasInUse, long until, long now) {
+    String service = target.service();
+    boolean isNews =
+        limits.onCold(target.incarnation(), () -> coldLimits.apply(service), wasInUse, until, now);
+    coldServices.put(target.incarnation(), service);
+    if (isNews) {
+      logger.atInfo().log(
+          "%s",
+          LogEvent.of("target.cold")
+              .with("target_life", target.incarnation())
+              .with("service", service)
+              .with("remaining_ms", until - now)
+              .with("was_in_use", wasInUse)
+              .with("requests_per_second", coldRate(service)));
+    }
+  }
+
+  private double coldRate(String service) {
+    return coldLimits.apply(service).map(ColdLimit::dividedRequestsPerSecond).orElse(0.0);
+  }
+
+  /**
+   * Takes in which entries share the limits of cold targets, and ends those whose time is over. To
+   * be called often.
+   *
+   * @param participants see {@link SharedLimits#tickCold}
+   */
+  public void tickCold(Set<String> participants, long now) {
+    for (String warm : limits.tickCold(participants, now)) {
+      coldServices.remove(warm);
+      logger.atInfo().log("%s", LogEvent.of("target.warm").with("target_life", warm));
+    }
+  }
+
   /** Counts a request sent to a target. */
   void onSent(String service, String targetIncarnation, long now) {
     if (limits.isLimited(targetIncarnation)) {
--- a/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
@@ -14,6 +14,8 @@
  * @param leaving whether it is draining and takes no new requests
  * @param startedAtMillis start time, milliseconds since the epoch; 0 if not announced. A restart
  *     under the same id loses all state of the earlier process
+ * @param coldRemainingMillis how much longer it is cold, that is, takes few requests, milliseconds
+ *     from when it wrote the record; 0 if it is not cold
  */
 public record Target(
     String id,
@@ -23,7 +25,8 @@
     String zone,
     int slots,
     boolean leaving,
-    long startedAtMillis) {
+    long startedAtMillis,
+    long coldRemainingMillis) {
   /** Checks that the id, service and address are present and the port is valid. */
   public Target {
     Objects.requireNonNull(id);
@@ -34,6 +37,25 @@
     }
   }
 
+  /** Creates a target that is not cold. */
+  public Target(
+      String id,
+      String service,
+      String host,
+      int port,
+      String zone,
+      int slots,
+      boolean leaving,
+      long startedAtMillis) {
+    this(id, service, host, port, zone, slots, leaving, startedAtMillis, 0);
+  }
+
+  /** Returns this target with another remaining time of its cold period, milliseconds. */
+  public Target withColdRemainingMillis(long remainingMillis) {
+    return new Target(
+        id, service, host, port, zone, slots, leaving, startedAtMillis, remainingMillis);
+  }
+
   /** Returns an identifier of this incarnation: it changes when the target restarts. */
   public String incarnation() {
     return id + "@" + startedAtMillis;
@@ -52,7 +74,8 @@
         && Objects.equals(zone, target.zone)
         && slots == target.slots
         && leaving == target.leaving
-        && startedAtMillis == target.startedAtMillis;
+        && startedAtMillis == target.startedAtMillis
+        && coldRemainingMillis == target.coldRemainingMillis;
   }
 
   @Override
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.MonotonicClock;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -167,4 +169,46 @@
 
     assertThat(ended).isEmpty();
   }
+
+  private final List<String> coldStatements = new ArrayList<>();
+
+  private TargetDirectory directoryOfColdTargets() {
+    return new TargetDirectory(
+        "zone-a",
+        incarnation -> {},
+        (target, wasInUse, until, now) ->
+            coldStatements.add(target.incarnation() + (wasInUse ? " was in use" : "")));
+  }
+
+  // Guards against a target that counts as warm while its records still say that it is cold, and
+  // against records forwarded to all entries only because the remaining time declines.
+  @Test
+  void onlyRecordsThatExtendColdPeriodChangeItsEnd() {
+    TargetDirectory watched = directoryOfColdTargets();
+    Target announced = target(false, 1);
+    watched.onAnnounced(announced.withColdRemainingMillis(60_000), 1);
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(59_000))).isFalse();
+    watched.onAnnounced(announced.withColdRemainingMillis(59_000), 2);
+    watched.onAnnounced(announced, 3);
+    assertThat(coldStatements).containsExactly("t1@1");
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(120_000))).isTrue();
+    watched.onAnnounced(announced.withColdRemainingMillis(120_000), 4);
+    assertThat(coldStatements).hasSize(2);
+
+    TargetLoad load = watched.usable("pages").get(0).load();
+    assertThat(load.isCold(MonotonicClock.millis() + 110_000)).isTrue();
+    assertThat(load.isCold(MonotonicClock.millis() + 121_000)).isFalse();
+  }
+
+  // Guards against a limit of a cold target that continues in its next incarnation, and against
+  // requests to a target in use that turns cold before all entries have learned of it.
+  @Test
+  void newIncarnationHasItsOwnColdPeriod() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(target(false, 1).withColdRemainingMillis(60_000), 1);
+    watched.onAnnounced(target(false, 2), 2);
+    assertThat(watched.usable("pages").get(0).load().isCold(MonotonicClock.millis())).isFalse();
+    watched.onAnnounced(target(false, 3).withColdRemainingMillis(60_000), 3);
+    assertThat(coldStatements).containsExactly("t1@1", "t1@3 was in use");
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.core.entries.RememberedEntries;
+import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
@@ -83,6 +85,7 @@
   private final CurrentConfiguration configuration = new CurrentConfiguration();
   private final CrashDetector crashes;
   private final TargetLimits limits;
+  private final RememberedEntries remembered;
   private final TargetDirectory targets;
   private final NodeMetrics metrics;
   private final StoreClient store;
@@ -110,8 +113,10 @@
         new TargetLimits(
             new SharedLimits(settings.host(), LimitDivision.amongFewHolders()),
             this::broadcast,
+            this::coldLimit,
             PrometheusRegistry.defaultRegistry);
-    targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded);
+    remembered = new RememberedEntries(settings.host(), startedAt);
+    targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded, limits);
     stop = new GracefulStop(settings);
     budgets = new RetryBudgets(retryLimits(settings), startedAt, settings.isFirstStart());
     store =
@@ -122,8 +127,7 @@
             store,
             configuration,
             targets,
-            new StoreTopics.Listener(
-                this::broadcast, host -> mesh().addHosts(List.of(host), MonotonicClock.millis())));
+            new StoreTopics.Listener(this::broadcast, host -> addHosts(List.of(host))));
     transport = WireTransport.createOnGroup(identity(settings), group);
     mesh = newMesh();
     experts =
@@ -206,8 +210,7 @@
             .with("host", settings.host())
             .with("zone", settings.zone())
             .with("seeds", settings.seeds()));
-    mesh.addHosts(
-        settings.seeds().stream().map(SocketAddresses::host).toList(), MonotonicClock.millis());
+    addHosts(settings.seeds().stream().map(SocketAddresses::host).toList());
     transport.listen(settings.host(), settings.linkPort(), mesh).join();
     ticker.execute(this::tick);
     server.listen(group, SocketAddresses.parse(settings.callerAddress().orElseThrow()));
@@ -237,8 +240,25 @@
     settings = changed;
     budgets.change(retryLimits(changed));
     stop.updateSettings(changed);
-    mesh.addHosts(
-        changed.seeds().stream().map(SocketAddresses::host).toList(), MonotonicClock.millis());
+    addHosts(changed.seeds().stream().map(SocketAddresses::host).toList());
+  }
+
+  private void addHosts(List<String> hosts) {
+    long now = MonotonicClock.millis();
+    mesh().addHosts(hosts, now);
+    remembered.onNamed(hosts, now);
+  }
+
+  /** Returns the limit of the cold targets of a service; empty where there is none. */
+  private Optional<ColdLimit> coldLimit(String service) {
+    return configuration
+        .get()
+        .map(current -> current.services().get(service))
+        .map(Service::coldRequestsPerSecond)
+        .filter(requestsPerSecond -> requestsPerSecond > 0)
+        .map(
+            requestsPerSecond ->
+                new ColdLimit(requestsPerSecond, settings.coldOverrun(), settings.coldSlack()));
   }
 
   private void broadcast(Frame frame) {
@@ -266,7 +286,10 @@
     try {
       mesh.tick(now);
       targets.tick(now);
-      limits.tick(mesh.stayingHosts(now), now);
+      Set<String> stayingHosts = mesh.stayingHosts(now);
+      limits.tick(stayingHosts, now);
+      remembered.onHeard(stayingHosts, now);
+      limits.tickCold(remembered.participants(now), now);
       budgets.onEntries(mesh.entries(now), now);
       leads = mesh.leads(now);
       int turn = mesh.position(now);
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.ByteString;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.records.FollowerOptions;
+import dev.ibishub.gateway.records.KeyedRecord;
 import dev.ibishub.gateway.records.RecordBatch;
 import dev.ibishub.gateway.records.RecordFollower;
 import dev.ibishub.gateway.records.RecordFollower.RecordChange;
@@ -85,7 +86,7 @@
             store,
             this::onTargetRecord,
             batch -> broadcastBatch(TARGETS, batch),
-            TargetAnnouncementDecoder::isRenewal);
+            this::isRenewal);
     this.followers =
         List.of(
             new RecordFollower(
@@ -187,6 +188,15 @@
     }
   }
 
+  private boolean isRenewal(KeyedRecord earlier, KeyedRecord later) {
+    try {
+      return TargetAnnouncementDecoder.isRenewal(earlier, later)
+          && !targets.extendsColdPeriod(TargetAnnouncementDecoder.decode(later));
+    } catch (IOException | IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   private void onEntryRecord(RecordChange change) {
     change
         .record()
