Compute an entry's share of a cold target only when it is used

After a restart of all, an entry hears of hundreds of others one by one, and each time it sorted the hosts for every cold target. It now counts the hosts before its own and does so when a request asks for that target.

--- a/core/src/main/java/dev/ibishub/core/serving/ColdShare.java
+++ b/core/src/main/java/dev/ibishub/core/serving/ColdShare.java
@@ -1,6 +1,7 @@
 package dev.ibishub.core.serving;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
@@ -10,10 +11,11 @@
   private final Supplier<Optional<ColdLimit>> limit;
   private final long closedUntil;
   private Optional<ColdLimit> appliedLimit = Optional.empty();
+  private Set<String> appliedHosts = Set.of();
   private long until;
 
   /**
-   * Creates a share that is empty until {@link #update}.
+   * Creates an empty share.
    *
    * @param limit the limit in force; empty while there is none
    * @param closedUntil until when nothing is sent at all, milliseconds
@@ -34,19 +36,23 @@
     return now >= until;
   }
 
-  /** Sets the rate from the limit in force, after the entries that share it have changed. */
-  void update(ToDoubleFunction<ColdLimit> division, long now) {
-    appliedLimit = limit.get();
-    bucket.setRate(appliedLimit.map(division::applyAsDouble).orElse(0.0), now);
-  }
-
-  /** Whether a request may be sent now, as far as the limit of a cold target matters. */
-  boolean allows(ToDoubleFunction<ColdLimit> division, long now) {
+  /**
+   * Whether a request may be sent now, as far as the limit of a cold target matters. The share is
+   * computed here only when it is needed: after a restart of all, each entry hears of hundreds of
+   * others one by one while thousands of targets are cold.
+   *
+   * @param hosts the entries that share the limit
+   * @param division this entry's share of a limit among these
+   */
+  boolean allows(Set<String> hosts, ToDoubleFunction<ColdLimit> division, long now) {
     if (isOver(now)) {
       return true;
     }
-    if (!limit.get().equals(appliedLimit)) {
-      update(division, now);
+    Optional<ColdLimit> inForce = limit.get();
+    if (!inForce.equals(appliedLimit) || !hosts.equals(appliedHosts)) {
+      appliedLimit = inForce;
+      appliedHosts = hosts;
+      bucket.setRate(inForce.map(division::applyAsDouble).orElse(0.0), now);
     }
     return appliedLimit.isEmpty() || (now >= closedUntil && bucket.hasToken(now));
   }
--- a/core/src/main/java/dev/ibishub/core/serving/LimitDivision.java
+++ b/core/src/main/java/dev/ibishub/core/serving/LimitDivision.java
@@ -58,14 +58,14 @@
     return (int) Math.max(1, Math.min(hosts.size(), Math.floor(requestsPerSecond)));
   }
 
+  /** Whether a host is among the first in the order of the hashes, which needs no sorting. */
   private static boolean isHolder(
       String ownHost, Set<String> hosts, String targetIncarnation, int holderCount) {
-    return hosts.stream()
-        .sorted(
-            Comparator.comparingLong((String host) -> rendezvousHash(host, targetIncarnation))
-                .thenComparing(Comparator.naturalOrder()))
-        .limit(holderCount)
-        .anyMatch(ownHost::equals);
+    Comparator<String> order =
+        Comparator.comparingLong((String host) -> rendezvousHash(host, targetIncarnation))
+            .thenComparing(Comparator.naturalOrder());
+    return hosts.contains(ownHost)
+        && hosts.stream().filter(host -> order.compare(host, ownHost) < 0).count() < holderCount;
   }
 
   private static long rendezvousHash(String host, String targetIncarnation) {
--- a/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
@@ -159,7 +159,7 @@
     }
     long closedUntil = wasInUse ? now + NEWS_MILLIS : now;
     ColdShare share = new ColdShare(limit, closedUntil, until);
-    share.update(coldDivision(targetIncarnation), now);
+    share.allows(coldHosts, coldDivision(targetIncarnation), now);
     coldByIncarnation.put(targetIncarnation, share);
     return true;
   }
@@ -180,8 +180,6 @@
     coldByIncarnation.keySet().removeAll(warm);
     if (!entryHosts.equals(coldHosts)) {
       coldHosts = Set.copyOf(entryHosts);
-      coldByIncarnation.forEach(
-          (incarnation, share) -> share.update(coldDivision(incarnation), now));
     }
     return warm;
   }
@@ -202,7 +200,7 @@
   /** Whether the limit of a cold target, if it has one, lets this entry send a request now. */
   public synchronized boolean allowsCold(String targetIncarnation, long now) {
     ColdShare cold = coldByIncarnation.get(targetIncarnation);
-    return cold == null || cold.allows(coldDivision(targetIncarnation), now);
+    return cold == null || cold.allows(coldHosts, coldDivision(targetIncarnation), now);
   }
 
   private boolean allowsStated(String targetIncarnation, long now) {
