Read how much longer a target is cold from its responses

X-Cold-Ms is decoded into TargetResponse, and TargetDirectory.onColdResponse takes it in as it does a record. The call from Exchange is left to the rewrite of admission there.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -159,10 +159,7 @@
     TargetLoad load = isNewIncarnation ? takeRetainedLoad(target.incarnation()) : before.load();
     long now = MonotonicClock.millis();
     if (isColdLonger(target, load, now)) {
-      long until = now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
-      boolean wasInUse = before != null && !before.load().isCold(now);
-      load.onCold(until);
-      coldListener.onCold(target, wasInUse, until, now);
+      onCold(target, load, before != null && !before.load().isCold(now), now);
     }
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
@@ -189,6 +186,21 @@
     }
   }
 
+  /** Takes in how much longer a target is cold, milliseconds, as it said in a response. */
+  public synchronized void onColdResponse(ListedTarget cold, long remainingMillis) {
+    long now = MonotonicClock.millis();
+    Target stated = cold.target().withColdRemainingMillis(remainingMillis);
+    if (isColdLonger(stated, cold.load(), now)) {
+      onCold(stated, cold.load(), !cold.load().isCold(now), now);
+    }
+  }
+
+  private void onCold(Target target, TargetLoad load, boolean wasInUse, long now) {
+    long until = now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+    load.onCold(until);
+    coldListener.onCold(target, wasInUse, until, now);
+  }
+
   /**
    * Whether a record extends the cold period of a known target, so that it is news for the other
    * entries even if it only renews an earlier record.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetResponse.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetResponse.java
@@ -19,6 +19,8 @@
  * @param backOffMillis how long the target wants no requests from this entry, milliseconds; empty
  *     unless it refuses a request and says so
  * @param isLeaving whether the target says that it is leaving, that is, about to stop
+ * @param coldRemainingMillis how much longer the target says that it is cold, milliseconds; empty
+ *     where it doesn't say
  */
 public record TargetResponse(
     int status,
@@ -29,7 +31,8 @@
     boolean isEventStream,
     OptionalDouble requestsPerSecond,
     OptionalLong backOffMillis,
-    boolean isLeaving) {
+    boolean isLeaving,
+    OptionalLong coldRemainingMillis) {
   /** Whether the status is a 2xx. */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
--- a/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
@@ -38,6 +38,7 @@
             .mapToDouble(Double::parseDouble)
             .findFirst(),
         Stream.ofNullable(response.headers().get("rest")).mapToLong(Long::parseLong).findFirst(),
-        response.headers().contains("leaving"));
+        response.headers().contains("leaving"),
+        OptionalLong.empty());
   }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -211,4 +211,16 @@
     watched.onAnnounced(target(false, 3).withColdRemainingMillis(60_000), 3);
     assertThat(coldStatements).containsExactly("t1@1", "t1@3 was in use");
   }
+
+  // Guards against a target that turned cold and says so in its responses before its record does.
+  @Test
+  void responseStatesColdPeriodAsRecordDoes() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(target(false, 1), 1);
+    watched.onColdResponse(watched.usable("pages").get(0), 60_000);
+    watched.onColdResponse(watched.usable("pages").get(0), 59_000);
+    assertThat(coldStatements).containsExactly("t1@1 was in use");
+    assertThat(watched.extendsColdPeriod(target(false, 1).withColdRemainingMillis(59_000)))
+        .isFalse();
+  }
 }
