--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -202,12 +202,14 @@
   }
 
   /**
-   * Whether a record extends the cold period of a known target, so that it is news for the other
-   * entries even if it only renews an earlier record.
+   * Whether a record extends the cold period of its target as far as known, so that it is news for
+   * the other entries even if it only renews an earlier record.
    */
   public synchronized boolean extendsColdPeriod(Target target) {
     ListedTarget before = known.get(target.id());
-    return before != null && isColdLonger(target, before.load(), MonotonicClock.millis());
+    return before == null
+        ? target.coldRemainingMillis() > 0
+        : isColdLonger(target, before.load(), MonotonicClock.millis());
   }
 
   private static boolean isColdLonger(Target target, TargetLoad load, long now) {
