--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -97,7 +97,7 @@
             store,
             this::onTargetRecord,
             batch -> broadcastBatch(TARGETS, batch),
-            TargetAnnouncementDecoder::isRenewal);
+            this::isRenewal);
     this.followers =
         List.of(
             operatorFollower,
@@ -207,6 +207,15 @@
     }
   }
 
+  private boolean isRenewal(KeyedRecord earlier, KeyedRecord later) {
+    try {
+      return TargetAnnouncementDecoder.isRenewal(earlier, later)
+          && !targets.extendsColdPeriod(TargetAnnouncementDecoder.decode(later));
+    } catch (IOException | IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   private void onEntryRecord(RecordChange change) {
     change
         .record()
