Decide when an entry reads the store in a class of core

Cause: the turns of reading were worked out inside RecordFollower and could not be played without its locks and its clock. Change: core.entries.ReadTurns holds the turns and ReadSchedule the decision, with the times, constants and order as before; RecordFollower asks it. Measured: RecordFollowerTest passes with the same expectations.

--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.records;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.entries.ReadSchedule;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import java.util.ArrayList;
@@ -35,39 +36,17 @@
 public final class RecordFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * Back-off after a failed read, milliseconds. A store that is down gets at most 4 calls per
-   * second from each entry.
-   */
-  private static final long RETRY_MILLIS = 250;
-
-  /**
-   * Number of entries with the full stagger between their reads. Later entries follow at {@link
-   * #LATER_STAGGER} of it. With the full stagger for all, the last of 42 entries would wait 42 s
-   * for a configuration while the first entries are rejected by the store or its links to them are
-   * broken.
-   */
-  static final int FULL_STAGGER_ENTRIES = 4;
-
-  /**
-   * Fraction of the stagger between later entries; long enough for the store's response to reach
-   * the next entry before that one reads.
-   */
-  private static final double LATER_STAGGER = 1.0 / 64;
-
   private static final long UNKNOWN_OFFSET = -1;
 
   private final FollowerOptions options;
   private final KeyedLog log;
+  private final ReadSchedule schedule;
   private final Consumer<RecordChange> onChange;
   private final Consumer<RecordBatch> onRead;
   private final BiPredicate<KeyedRecord, KeyedRecord> isRenewal;
   private final Map<String, KeyedRecord> newest = new HashMap<>();
   private long nextOffset = UNKNOWN_OFFSET;
   private boolean historyLost;
-  private boolean reading;
-  private long confirmedAt = Long.MIN_VALUE / 2;
-  private long retryAt = Long.MIN_VALUE / 2;
   private boolean reachable = true;
   private long outageMillis;
 
@@ -102,6 +81,7 @@
       Consumer<RecordBatch> onRead,
       BiPredicate<KeyedRecord, KeyedRecord> isRenewal) {
     this.options = options;
+    this.schedule = new ReadSchedule(options.turns());
     this.log = log;
     this.onChange = onChange;
     this.onRead = onRead;
@@ -129,7 +109,7 @@
 
   /** Returns the time since the local copy was last confirmed, milliseconds. */
   public synchronized long ageMillis(long now) {
-    return now - confirmedAt;
+    return now - schedule.confirmedAt();
   }
 
   /** Returns a snapshot for an entry that has just started; empty if nothing is known yet. */
@@ -146,30 +126,21 @@
    * @param turn this entry's position in the order of reading, from 0
    */
   public void tick(long now, int turn) {
+    ReadSchedule.Decision decision;
     boolean needsSnapshot;
     long from;
     synchronized (this) {
-      long due =
-          confirmedAt
-              + options.periodMillis()
-              + (long) (staggerFactor(turn) * options.staggerMillis());
-      if (reading || now < retryAt || now < due) {
-        return;
-      }
-      reading = true;
+      decision = schedule.next(now, turn);
       needsSnapshot = nextOffset == UNKNOWN_OFFSET || historyLost;
       from = nextOffset;
     }
-    var batch =
-        needsSnapshot
-            ? log.newest(options.topic())
-            : log.read(options.topic(), from, turn == 0 ? options.waitMillis() : 0);
-    batch.whenComplete((read, failure) -> onReadDone(read, failure));
-  }
-
-  private static double staggerFactor(int turn) {
-    return Math.min(turn, FULL_STAGGER_ENTRIES)
-        + LATER_STAGGER * Math.max(0, turn - FULL_STAGGER_ENTRIES);
+    if (decision.action() == ReadSchedule.Action.READ) {
+      var batch =
+          needsSnapshot
+              ? log.newest(options.topic())
+              : log.read(options.topic(), from, decision.waitMillis());
+      batch.whenComplete((read, failure) -> onReadDone(read, failure));
+    }
   }
 
   /**
@@ -194,7 +165,6 @@
     long now = MonotonicClock.millis();
     Optional<RecordBatch> toBroadcast = Optional.empty();
     synchronized (this) {
-      reading = false;
       if (failure != null) {
         onFailure(failure, now);
       } else if (batch.isSnapshot() && batch.end() < nextOffset) {
@@ -204,8 +174,9 @@
                 .with("topic", options.topic())
                 .with("end", batch.end())
                 .with("known", nextOffset));
-        retryAt = now + RETRY_MILLIS;
+        schedule.onReadFailed(now);
       } else {
+        schedule.onReadDone();
         onReachable(now);
         historyLost = historyLost && !batch.isSnapshot();
         toBroadcast = Optional.of(batch.isSnapshot() ? batch : withoutRenewals(batch));
@@ -241,19 +212,20 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof KeyedLog.HistoryLostException) {
       historyLost = true;
+      schedule.onReadDone();
       logger.atInfo().log(
           "%s",
           LogEvent.of("store.history_lost").with("topic", options.topic()).with("at", nextOffset));
       return;
     }
-    retryAt = now + RETRY_MILLIS;
+    schedule.onReadFailed(now);
     if (reachable) {
       reachable = false;
       logger.atWarning().log(
           "%s",
           LogEvent.of("store.lost")
               .with("topic", options.topic())
-              .with("age_ms", now - confirmedAt)
+              .with("age_ms", now - schedule.confirmedAt())
               .with("cause", cause));
     }
   }
@@ -265,14 +237,14 @@
           "%s",
           LogEvent.of("store.back")
               .with("topic", options.topic())
-              .with("age_ms", now - confirmedAt));
+              .with("age_ms", now - schedule.confirmedAt()));
     }
   }
 
   private void applyBatch(RecordBatch batch, long now) {
     // Records that arrive together after an outage may describe events from its beginning, so the
     // whole gap counts for each of them.
-    long gap = now - confirmedAt;
+    long gap = now - schedule.confirmedAt();
     long outage = nextOffset == UNKNOWN_OFFSET ? 0 : gap;
     List<KeyedRecord> news = new ArrayList<>();
     batch.records().stream().filter(this::isNewer).forEach(news::add);
@@ -281,7 +253,7 @@
           .forEach(key -> news.add(new KeyedRecord(batch.end(), key, Optional.empty())));
     }
     nextOffset = Math.max(nextOffset, batch.end());
-    confirmedAt = now;
+    schedule.onConfirmed(now);
     outageMillis = outage;
     news.forEach(this::applyRecord);
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.runtime.MonotonicClock;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,7 +14,8 @@
 import org.junit.jupiter.api.Test;
 
 final class RecordFollowerTest {
-  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", 500, 250, 0);
+  private static final ReadTurns TURNS = new ReadTurns(500, 250, 0);
+  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", TURNS);
 
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final Map<String, String> known = new TreeMap<>();
@@ -144,12 +146,12 @@
     long after = MonotonicClock.millis();
     log.put("a", "2");
     long fullStaggerMillis =
-        OPTIONS.periodMillis() + RecordFollower.FULL_STAGGER_ENTRIES * OPTIONS.staggerMillis();
+        TURNS.periodMillis() + ReadTurns.FULL_STAGGER_ENTRIES * TURNS.staggerMillis();
 
     follower.tick(before + fullStaggerMillis, 41);
     assertThat(known).containsEntry("a", "1");
 
-    follower.tick(after + fullStaggerMillis + OPTIONS.staggerMillis(), 41);
+    follower.tick(after + fullStaggerMillis + TURNS.staggerMillis(), 41);
     assertThat(known).containsEntry("a", "2");
   }
 
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.records.FollowerOptions;
 import dev.ibishub.gateway.records.RecordBatch;
@@ -35,7 +36,7 @@
    * receive nothing from it.
    */
   private static final FollowerOptions CONFIGURATION =
-      new FollowerOptions(StoreClient.OPERATOR_TOPIC, 50, 1_300, 1_000);
+      new FollowerOptions(StoreClient.OPERATOR_TOPIC, new ReadTurns(50, 1_300, 1_000));
 
   /**
    * Options for the targets. Each target writes about once per second, so a long poll would return
@@ -43,13 +44,13 @@
    * leaves is known within a quarter of the time allowed for it.
    */
   private static final FollowerOptions TARGETS =
-      new FollowerOptions(StoreClient.TARGETS_TOPIC, 500, 250, 0);
+      new FollowerOptions(StoreClient.TARGETS_TOPIC, new ReadTurns(500, 250, 0));
 
   /**
    * Options for the entries. They are read rarely, since seeds and heartbeats name most of them.
    */
   private static final FollowerOptions ENTRIES =
-      new FollowerOptions(StoreClient.ENTRIES_TOPIC, 5_000, 1_500, 0);
+      new FollowerOptions(StoreClient.ENTRIES_TOPIC, new ReadTurns(5_000, 1_500, 0));
 
   private final CurrentConfiguration configuration;
   private final TargetDirectory targets;
