Add settings for the time to apply a configuration and the store's read rate

Cause: the turns of reading the store are to follow from both, and the program knew neither. Without them 10 s and 6,000 reads a second hold, at which the turns are as they were.

--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -28,6 +28,9 @@
  * @param retriesPerRequest the number of retries that each request adds to the retry budget
  * @param sharedRetryAllowance the additional retries per window, shared by all entries
  * @param retryWindowSeconds the length of the retry window, seconds
+ * @param configurationMillis the time within which a published configuration must be in force at
+ *     all entries, milliseconds
+ * @param storeReadsPerSecond the reads per second that the store accepts from all entries together
  * @param metricsPort the port for metrics; 0 for no metrics
  * @param isFirstStart whether the whole system starts for the first time
  */
@@ -48,6 +51,8 @@
     double retriesPerRequest,
     double sharedRetryAllowance,
     int retryWindowSeconds,
+    double configurationMillis,
+    double storeReadsPerSecond,
     int metricsPort,
     boolean isFirstStart) {
 
@@ -99,6 +104,20 @@
               .defaultingTo(0.0),
           Key.integer("retryWindowSeconds", "s", 1, 3_600, "Length of that window.")
               .defaultingTo(10L),
+          Key.number(
+                  "configurationMillis",
+                  "ms",
+                  500,
+                  600_000,
+                  "Time within which a published configuration must be in force at all entries.")
+              .defaultingTo(10_000.0),
+          Key.number(
+                  "storeReadsPerSecond",
+                  "1/s",
+                  1,
+                  1_000_000,
+                  "Reads that the store accepts from all entries together.")
+              .defaultingTo(6_000.0),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
           Key.flag("firstStart", "Whether the whole system starts for the first time.")
               .defaultingTo(false));
@@ -172,6 +191,8 @@
         retriesPerRequest,
         sharedRetryAllowance,
         retryWindowSeconds,
+        configurationMillis,
+        storeReadsPerSecond,
         other.metricsPort,
         isFirstStart);
   }
@@ -208,6 +229,8 @@
         root.number("retriesPerRequest"),
         root.number("sharedRetryAllowance"),
         root.integer("retryWindowSeconds"),
+        root.number("configurationMillis"),
+        root.number("storeReadsPerSecond"),
         root.integer("metricsPort"),
         root.flag("firstStart"));
   }
