--- a/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -203,6 +204,21 @@
             .count();
   }
 
+  /**
+   * Returns the host of the next entry after this one, or else of the first one in order, among the
+   * live entries that are not leaving.
+   *
+   * @param excluded hosts that are passed over
+   */
+  public Optional<String> nextInOrder(Set<String> excluded, long now) {
+    int own = position(now);
+    List<String> hosts =
+        alive(now).stream().filter(entry -> !entry.isLeaving()).map(EntryFacts::host).toList();
+    return Stream.concat(hosts.stream().skip(own), hosts.stream().limit(own))
+        .filter(host -> !excluded.contains(host))
+        .findFirst();
+  }
+
   /**
    * Returns the entries that this one has heard directly within {@link #ALIVE_MILLIS}, each with
    * the time when it was last heard, to report them to others.
