Read the configuration in time while the store rejects the first readers

Cause: each entry read only after 1.3 s for each entry before it, so with the first two rejected the third read 2.65 s after the last confirmation, and a version has to be in force after 2 s. Change: turns follow from configurationMillis and storeReadsPerSecond: all entries have had one within four fifths of the time. An entry whose read fails passes its turn at once to the next entry, and rests for up to 4 s while another one reads in its place. The ticker wakes for a turn that is due between ticks. Event turn.passed and counter ibishub_read_turns_total show it. ReadTurnsFleet plays the messages; ReadTurnsFleetTest keeps its faults and bounds and plays each of them with all messages lost as well.

--- a/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
+++ b/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
@@ -1,14 +1,17 @@
 package dev.ibishub.core.entries;
 
-import dev.ibishub.core.entries.ReadSchedule.Action;
 import dev.ibishub.core.entries.ReadSchedule.Decision;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * Entries, their links and the store in virtual time: one version is published, and each entry
@@ -39,6 +42,13 @@
    */
   record Plan(Fault fault, Collection<Integer> faulty, long from) {}
 
+  /**
+   * How entries read.
+   *
+   * @param passesOn whether messages with turns arrive; otherwise all of them are lost
+   */
+  record Design(ReadTurns turns, boolean passesOn) {}
+
   private static final long END_MILLIS = 12_000;
   private static final long LINK_MILLIS = 3;
   private static final long CALL_MILLIS = 2;
@@ -49,12 +59,13 @@
   private static final long DISCOVERY_MILLIS = 250;
   private static final long FIRST_TICK_MILLIS = 25;
   private static final long TICK_MILLIS = 100;
+  private static final long VIEW_MILLIS = 5;
   private static final long NEVER = Long.MAX_VALUE / 2;
 
   /** One entry. */
   private final class Entry {
     private final int index;
-    private ReadSchedule schedule = new ReadSchedule(turns);
+    private ReadSchedule schedule = new ReadSchedule(design::turns);
     private Fault fault = Fault.NONE;
     private long faultAt = NEVER;
     private long startedAt = -1;
@@ -62,6 +73,10 @@
     private boolean isKnown;
     private int version;
     private long inForceAt = NEVER;
+    private int heardBefore;
+
+    /** Entries that the turn which this one was passed in this round has been at. */
+    private Set<Entry> tried = Set.of();
 
     Entry(int index) {
       this.index = index;
@@ -91,28 +106,58 @@
     }
 
     int turn() {
-      return hearsOthers()
-          ? (int)
-              entries.stream()
-                  .filter(other -> other != this && other.isHeard())
-                  .filter(other -> ORDER.compare(other, this) < 0)
-                  .count()
-          : 0;
+      updateView();
+      return hearsOthers() ? heardBefore : 0;
+    }
+
+    int entriesHeard() {
+      updateView();
+      return hearsOthers() ? heardEntries + (isHeard() ? 0 : 1) : 1;
     }
 
     void tick() {
+      int turn = turn();
+      int heard = entriesHeard();
       if (!isDown()) {
-        act(schedule.next(now, turn()));
+        act(schedule.next(now, turn, heard));
       }
-      at(turn() == 0 ? FIRST_TICK_MILLIS : TICK_MILLIS, this, this::tick);
+      long regular = turn == 0 ? FIRST_TICK_MILLIS : TICK_MILLIS;
+      long untilDue = schedule.dueAt(turn, heard) - now;
+      at(untilDue > 0 ? Math.min(untilDue, regular) : regular, this, this::tick);
     }
 
-    void act(Decision decision) {
-      if (decision.action() == Action.READ) {
-        read(decision.waitMillis());
+    private void act(Decision decision) {
+      switch (decision.action()) {
+        case READ -> read(decision.waitMillis());
+        case PASS -> pass(decision.waitMillis());
+        default -> {}
       }
     }
 
+    private void pass(long waitMillis) {
+      Set<Entry> triedNow = new HashSet<>(tried);
+      triedNow.add(this);
+      int own = turn();
+      List<Entry> others =
+          hearsOthers() ? inOrder.stream().filter(Entry::isHeard).toList() : List.of();
+      Stream.concat(others.stream().skip(own + 1), others.stream().limit(own))
+          .filter(other -> !triedNow.contains(other))
+          .findFirst()
+          .ifPresent(next -> send(next, triedNow, waitMillis));
+    }
+
+    private void send(Entry next, Set<Entry> triedNow, long waitMillis) {
+      schedule.onPassed();
+      if (design.passesOn() && isLinked() && next.isLinked()) {
+        at(linkMillis(this, next), next, () -> next.onTurn(triedNow, waitMillis));
+      }
+    }
+
+    private void onTurn(Set<Entry> triedBefore, long waitMillis) {
+      tried = triedBefore;
+      act(schedule.onTurnReceived(now, waitMillis));
+    }
+
     private void read(long waitMillis) {
       calls.add(now);
       Read read = new Read(this, incarnation, version, isKnown ? waitMillis : 0);
@@ -141,6 +186,7 @@
     private void take(int newVersion) {
       isKnown = true;
       schedule.onConfirmed(now);
+      tried = Set.of();
       if (newVersion > version) {
         version = newVersion;
         inForceAt = now;
@@ -148,7 +194,8 @@
     }
 
     void onFailed() {
-      schedule.onReadFailed(now);
+      schedule.onReadFailed(now, entriesHeard());
+      act(schedule.next(now, turn(), entriesHeard()));
     }
 
     void begin(Fault begun) {
@@ -160,7 +207,7 @@
         isKnown = false;
         version = 0;
         inForceAt = NEVER;
-        schedule = new ReadSchedule(turns);
+        schedule = new ReadSchedule(design::turns);
         at(DOWN_MILLIS + DISCOVERY_MILLIS, this, this::onLinked);
       }
       reads.stream()
@@ -257,7 +304,7 @@
       Comparator.<Entry>comparingLong(entry -> entry.startedAt)
           .thenComparingInt(entry -> entry.index);
 
-  private final ReadTurns turns;
+  private final Design design;
   private final Random random;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
@@ -268,26 +315,37 @@
   private long eventNumber;
   private int version;
   private long publishedAt = NEVER;
+  private List<Entry> inOrder = List.of();
+  private int heardEntries;
+  private long viewUntil = -NEVER;
 
-  ReadTurnsFleet(int size, ReadTurns turns, long seed) {
-    this.turns = turns;
+  ReadTurnsFleet(int size, Design design, long seed) {
+    this.design = design;
     this.random = new Random(seed);
     this.entries = IntStream.range(0, size).mapToObj(Entry::new).toList();
     entries.forEach(entry -> entry.startedAt = -10_000);
     entries.forEach(entry -> at(random.nextInt((int) TICK_MILLIS), entry, entry::tick));
   }
 
-  /** Plays the faults and the publication of one version. */
+  /** Plays the faults and the publication of one version to the end. */
   ReadTurnsFleet play(Plan plan, long publishAt) {
+    return run(plan, publishAt, () -> false);
+  }
+
+  /** Plays the faults and the publication of one version until it is in force where it can be. */
+  ReadTurnsFleet playUntilInForce(Plan plan, long publishAt) {
+    return run(plan, publishAt, () -> now > plan.from() && lateness() < END_MILLIS);
+  }
+
+  private ReadTurnsFleet run(Plan plan, long publishAt, BooleanSupplier isDone) {
     after(
         plan.from(), () -> plan.faulty().forEach(index -> entries.get(index).begin(plan.fault())));
     after(publishAt, this::publish);
-    while (!events.isEmpty() && events.peek().at() <= END_MILLIS) {
+    while (!events.isEmpty() && events.peek().at() <= END_MILLIS && !isDone.getAsBoolean()) {
       Event event = events.poll();
       now = event.at();
       event.action().run();
     }
-    now = END_MILLIS;
     return this;
   }
 
@@ -328,6 +386,20 @@
     return calls.stream().filter(at -> at >= from).count() * 1_000.0 / (END_MILLIS - from);
   }
 
+  /** Notes which entries are heard, as of a few milliseconds ago at the earliest. */
+  private void updateView() {
+    if (now < viewUntil) {
+      return;
+    }
+    viewUntil = now + VIEW_MILLIS;
+    inOrder = entries.stream().sorted(ORDER).toList();
+    heardEntries = 0;
+    for (Entry entry : inOrder) {
+      entry.heardBefore = heardEntries;
+      heardEntries += entry.isHeard() ? 1 : 0;
+    }
+  }
+
   private void publish() {
     version++;
     publishedAt = now;
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -13,14 +13,18 @@
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LimitReport;
 import dev.ibishub.wire.generated.LoadReports;
+import dev.ibishub.wire.generated.ReadTurn;
 import dev.ibishub.wire.generated.RecordProgress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -134,12 +138,14 @@
    * @param onLimits takes the request limits that targets stated to another entry; returns whether
    *     any were news
    * @param onLoads takes the loads of targets that another entry collected
+   * @param onTurn takes a turn to read the store that another entry passed to this one
    */
   public record Listener(
       Predicate<RecordProgress> onProgress,
       Predicate<CrashReport> onCrashes,
       Predicate<LimitReport> onLimits,
-      Consumer<LoadReports> onLoads) {}
+      Consumer<LoadReports> onLoads,
+      Consumer<ReadTurn> onTurn) {}
 
   /** What is known of the entry at the other end of a link, and what was sent to it. */
   private static final class PeerState {
@@ -202,6 +208,67 @@
     peers.forEach(link -> link.offer(frame));
   }
 
+  /**
+   * Passes a turn to read the store to the next entry in order that has not passed it on yet. The
+   * message may get lost.
+   *
+   * @param turn the turn as this entry got it, or a new one
+   * @return whether it was sent; false if no other entry is left or linked
+   */
+  public boolean passTurn(ReadTurn turn) {
+    Set<String> tried = new LinkedHashSet<>(turn.getTriedList());
+    tried.add(self.host());
+    Optional<String> next;
+    Optional<Link> link;
+    synchronized (this) {
+      next = roster.nextInOrder(tried, MonotonicClock.millis());
+      link = next.flatMap(host -> linkTo(host).or(this::linkToAnyRelay));
+    }
+    if (link.isEmpty()) {
+      return false;
+    }
+    ReadTurn passed =
+        turn.toBuilder().setTo(next.orElseThrow()).clearTried().addAllTried(tried).build();
+    boolean isSent = link.get().offer(Frame.newBuilder().setReadTurn(passed).build());
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "%s",
+        LogEvent.of("turn.passed")
+            .with("topic", turn.getTopic())
+            .with("to", passed.getTo())
+            .with("tried", tried.size())
+            .with("sent", isSent));
+    return isSent;
+  }
+
+  /** Takes a turn that is meant for this entry; a relay forwards any other one. */
+  private void takeOrForward(Frame frame) {
+    String host = frame.getReadTurn().getTo();
+    if (host.equals(self.host())) {
+      listener.onTurn().accept(frame.getReadTurn());
+      return;
+    }
+    Optional<Link> link;
+    synchronized (this) {
+      link = linkTo(host);
+    }
+    link.ifPresent(direct -> direct.offer(frame));
+  }
+
+  private Optional<Link> linkTo(String host) {
+    return anyOpenLink(Set.of(host));
+  }
+
+  private Optional<Link> linkToAnyRelay() {
+    return anyOpenLink(hostsToLink);
+  }
+
+  private Optional<Link> anyOpenLink(Set<String> hosts) {
+    return links.entrySet().stream()
+        .filter(link -> link.getKey().isOpen() && hosts.contains(link.getValue().host))
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
   /** Returns the addresses at which callers may send requests, this entry's own first. */
   public synchronized List<String> callerAddresses(long now) {
     List<String> addresses = new ArrayList<>();
@@ -284,6 +351,7 @@
           forwardIfNews(link, frame, listener.onCrashes().test(frame.getCrashReport()));
       case LIMIT_REPORT ->
           forwardIfNews(link, frame, listener.onLimits().test(frame.getLimitReport()));
+      case READ_TURN -> takeOrForward(frame);
       case LOAD_REPORTS -> listener.onLoads().accept(frame.getLoadReports());
       default ->
           logger.atWarning().log(
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -24,7 +25,8 @@
  * <p>Calls to the store are charged for, so the entries share them: an entry that reads a batch
  * broadcasts it, and a follower reads by itself only if its copy has not been confirmed for its
  * period. Periods are staggered by the entries' order, so as long as the first entry can read, the
- * others don't. An entry that the store rejects still gets the records from its peers.
+ * others don't. An entry whose read fails passes its turn to the next one ({@link ReadSchedule}).
+ * An entry that the store rejects still gets the records from its peers.
  *
  * <p>Reads from the store can be seconds stale, so the copy never goes back: a record is applied
  * only if its offset is higher than that of the key's last record, and a snapshot only if it ends
@@ -44,11 +46,17 @@
   private final Consumer<RecordChange> onChange;
   private final Consumer<RecordBatch> onRead;
   private final BiPredicate<KeyedRecord, KeyedRecord> isRenewal;
+  private final Predicate<PassedTurn> passTurn;
   private final Map<String, KeyedRecord> newest = new HashMap<>();
   private long nextOffset = UNKNOWN_OFFSET;
   private boolean historyLost;
   private boolean reachable = true;
   private long outageMillis;
+  private int turn;
+  private int entries = 1;
+
+  /** The entries that have passed on the turn which this one was passed in this round. */
+  private Set<String> tried = Set.of();
 
   /**
    * Creates an empty follower that passes on every record that it reads.
@@ -66,7 +74,7 @@
   }
 
   /**
-   * Creates an empty follower.
+   * Creates an empty follower that passes no turns on.
    *
    * @param onChange called with each new record
    * @param onRead called with each batch that this process read from the store, to broadcast it;
@@ -80,12 +88,34 @@
       Consumer<RecordChange> onChange,
       Consumer<RecordBatch> onRead,
       BiPredicate<KeyedRecord, KeyedRecord> isRenewal) {
+    this(options, log, onChange, onRead, isRenewal, turn -> false);
+  }
+
+  /**
+   * Creates an empty follower.
+   *
+   * @param onChange called with each new record
+   * @param onRead called with each batch that this process read from the store, to broadcast it;
+   *     called without the lock
+   * @param isRenewal whether the second of two records of a key, both with a value, only repeats
+   *     the content of the first; such records are left out of the batches passed to {@code onRead}
+   * @param passTurn sends a turn to the next entry, and returns whether it was sent; called without
+   *     the lock
+   */
+  public RecordFollower(
+      FollowerOptions options,
+      KeyedLog log,
+      Consumer<RecordChange> onChange,
+      Consumer<RecordBatch> onRead,
+      BiPredicate<KeyedRecord, KeyedRecord> isRenewal,
+      Predicate<PassedTurn> passTurn) {
     this.options = options;
     this.schedule = new ReadSchedule(options.turns());
     this.log = log;
     this.onChange = onChange;
     this.onRead = onRead;
     this.isRenewal = isRenewal;
+    this.passTurn = passTurn;
   }
 
   /**
@@ -120,26 +150,75 @@
   }
 
   /**
-   * Starts a read if one is due. To be called often.
+   * Starts a read, or passes the turn on, if that is due. To be called often.
    *
    * @param now current time of the monotonic clock, milliseconds
    * @param turn this entry's position in the order of reading, from 0
+   * @param entries number of entries, including this one
+   */
+  public void tick(long now, int turn, int entries) {
+    synchronized (this) {
+      this.turn = turn;
+      this.entries = entries;
+    }
+    actIfDue(now);
+  }
+
+  /**
+   * Returns when the next read is due, by the monotonic clock in milliseconds; in the past while
+   * one is open.
    */
-  public void tick(long now, int turn) {
+  public synchronized long dueAt() {
+    return schedule.dueAt(turn, entries);
+  }
+
+  /** Takes a turn that another entry passed to this one: reads, or passes it on in its turn. */
+  public void onTurnReceived(PassedTurn passed, long now) {
     ReadSchedule.Decision decision;
+    synchronized (this) {
+      tried = passed.tried();
+      decision = schedule.onTurnReceived(now, passed.waitMillis());
+    }
+    act(decision);
+  }
+
+  private void actIfDue(long now) {
+    ReadSchedule.Decision decision;
+    synchronized (this) {
+      decision = schedule.next(now, turn, entries);
+    }
+    act(decision);
+  }
+
+  private void act(ReadSchedule.Decision decision) {
+    switch (decision.action()) {
+      case READ -> read(decision.waitMillis());
+      case PASS -> pass(decision.waitMillis());
+      default -> {}
+    }
+  }
+
+  private void read(long waitMillis) {
     boolean needsSnapshot;
     long from;
     synchronized (this) {
-      decision = schedule.next(now, turn);
       needsSnapshot = nextOffset == UNKNOWN_OFFSET || historyLost;
       from = nextOffset;
     }
-    if (decision.action() == ReadSchedule.Action.READ) {
-      var batch =
-          needsSnapshot
-              ? log.newest(options.topic())
-              : log.read(options.topic(), from, decision.waitMillis());
-      batch.whenComplete((read, failure) -> onReadDone(read, failure));
+    var batch =
+        needsSnapshot ? log.newest(options.topic()) : log.read(options.topic(), from, waitMillis);
+    batch.whenComplete((read, failure) -> onReadDone(read, failure));
+  }
+
+  private void pass(long waitMillis) {
+    PassedTurn passed;
+    synchronized (this) {
+      passed = new PassedTurn(waitMillis, tried);
+    }
+    if (passTurn.test(passed)) {
+      synchronized (this) {
+        schedule.onPassed();
+      }
     }
   }
 
@@ -174,7 +253,7 @@
                 .with("topic", options.topic())
                 .with("end", batch.end())
                 .with("known", nextOffset));
-        schedule.onReadFailed(now);
+        schedule.onReadFailed(now, entries);
       } else {
         schedule.onReadDone();
         onReachable(now);
@@ -183,6 +262,10 @@
         applyBatch(batch, now);
       }
     }
+    if (toBroadcast.isEmpty()) {
+      // The next entry is to read at once, not when this one ticks again.
+      actIfDue(now);
+    }
     toBroadcast.ifPresent(onRead);
   }
 
@@ -218,7 +301,7 @@
           LogEvent.of("store.history_lost").with("topic", options.topic()).with("at", nextOffset));
       return;
     }
-    schedule.onReadFailed(now);
+    schedule.onReadFailed(now, entries);
     if (reachable) {
       reachable = false;
       logger.atWarning().log(
@@ -254,6 +337,7 @@
     }
     nextOffset = Math.max(nextOffset, batch.end());
     schedule.onConfirmed(now);
+    tried = Set.of();
     outageMillis = outage;
     news.forEach(this::applyRecord);
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -11,6 +11,7 @@
 import dev.ibishub.wire.generated.EntryBeat;
 import dev.ibishub.wire.generated.EntryWord;
 import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.ReadTurn;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -37,7 +38,8 @@
         new PeerMesh.Self(name, host, port, host + ":1", 1, () -> true, () -> false),
         transport,
         List::of,
-        new PeerMesh.Listener(progress -> false, crashes -> false, limits -> false, loads -> {}));
+        new PeerMesh.Listener(
+            progress -> false, crashes -> false, limits -> false, loads -> {}, turn -> {}));
   }
 
   private static int freePort() {
@@ -148,4 +150,43 @@
     assertThat(second.getAgesCount()).isEqualTo(1);
     assertThat(second.getRoster()).isEqualTo(first.getRoster());
   }
+
+  private static void hear(PeerMesh mesh, Link link, String host) {
+    mesh.onOpen(link);
+    mesh.onFrame(
+        link,
+        HeartbeatMessages.frame(facts(host), RosterSnapshot.EMPTY, true, MonotonicClock.millis()));
+  }
+
+  // Guards against a turn to read the store that goes back to an entry that has passed it on.
+  @Test
+  void turnIsPassedToNextEntryThatHasNotTried() {
+    EmbeddedChannel channel = new EmbeddedChannel();
+    hear(mesh, link(channel), OTHER);
+    channel.outboundMessages().clear();
+    ReadTurn turn = ReadTurn.newBuilder().setTopic("topic").setWaitMillis(900).build();
+
+    assertThat(mesh.passTurn(turn)).isTrue();
+    ReadTurn passed = ((Frame) channel.readOutbound()).getReadTurn();
+    assertThat(passed.getTo()).isEqualTo(OTHER);
+    assertThat(passed.getWaitMillis()).isEqualTo(900);
+    assertThat(passed.getTriedList()).containsExactly(OWN);
+
+    assertThat(mesh.passTurn(turn.toBuilder().addTried(OTHER).build())).isFalse();
+  }
+
+  // Guards against turns that end at a relay because the rejected entry has no link to the next.
+  @Test
+  void relayForwardsTurnToEntryThatIsMeant() {
+    EmbeddedChannel channel = new EmbeddedChannel();
+    hear(mesh, link(channel), OTHER);
+    channel.outboundMessages().clear();
+    Frame frame =
+        Frame.newBuilder()
+            .setReadTurn(ReadTurn.newBuilder().setTopic("topic").setTo(OTHER))
+            .build();
+    mesh.onFrame(link(new EmbeddedChannel()), frame);
+
+    assertThat((Frame) channel.readOutbound()).isEqualTo(frame);
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Test;
 
 final class RecordFollowerTest {
-  private static final ReadTurns TURNS = new ReadTurns(500, 250, 0);
-  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", TURNS);
+  private static final ReadTurns TURNS = ReadTurns.fixed(500, 250, 0);
+  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", () -> TURNS);
 
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final Map<String, String> known = new TreeMap<>();
@@ -36,7 +36,7 @@
 
   /** Makes the follower read the log as if its period were over. */
   private void read() {
-    follower.tick(MonotonicClock.millis() + 10_000, 0);
+    follower.tick(MonotonicClock.millis() + 10_000, 0, 42);
   }
 
   @Test
@@ -115,8 +115,8 @@
     log.put("a", "1");
     read();
     int before = log.calls();
-    follower.tick(MonotonicClock.millis() + 400, 0);
-    follower.tick(MonotonicClock.millis() + 600, 1);
+    follower.tick(MonotonicClock.millis() + 400, 0, 42);
+    follower.tick(MonotonicClock.millis() + 600, 1, 42);
 
     assertThat(log.calls()).isEqualTo(before);
   }
@@ -148,10 +148,10 @@
     long fullStaggerMillis =
         TURNS.periodMillis() + ReadTurns.FULL_STAGGER_ENTRIES * TURNS.staggerMillis();
 
-    follower.tick(before + fullStaggerMillis, 41);
+    follower.tick(before + fullStaggerMillis, 41, 42);
     assertThat(known).containsEntry("a", "1");
 
-    follower.tick(after + fullStaggerMillis + TURNS.staggerMillis(), 41);
+    follower.tick(after + fullStaggerMillis + TURNS.staggerMillis(), 41, 42);
     assertThat(known).containsEntry("a", "2");
   }
 
@@ -165,18 +165,38 @@
     RecordFollower reader =
         new RecordFollower(OPTIONS, log, change -> {}, passedOn::add, RecordFollowerTest::sameText);
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 10_000, 0);
+    reader.tick(MonotonicClock.millis() + 10_000, 0, 42);
     log.put("a", "1");
     log.put("b", "1");
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 20_000, 0);
+    reader.tick(MonotonicClock.millis() + 20_000, 0, 42);
     log.delete("a");
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 30_000, 0);
+    reader.tick(MonotonicClock.millis() + 30_000, 0, 42);
 
     assertThat(passedOn)
         .extracting(batch -> batch.records().stream().map(KeyedRecord::key).toList())
         .containsExactly(List.of("a"), List.of("b"), List.of("a", "a"));
     assertThat(passedOn).extracting(RecordBatch::end).containsExactly(1L, 4L, 6L);
   }
+
+  // Guards against a configuration that is late because the store rejects the first reader: its
+  // turn passed only after a time.
+  @Test
+  void rejectedEntryPassesTurnAtOnceAndNextOneReads() {
+    List<PassedTurn> turns = new ArrayList<>();
+    RecordFollower rejected =
+        new RecordFollower(
+            OPTIONS, log, change -> {}, batch -> {}, (before, after) -> false, turns::add);
+    log.put("a", "1");
+    read();
+    log.put("a", "2");
+    log.setDown(true);
+    rejected.tick(MonotonicClock.millis(), 0, 2);
+    log.setDown(false);
+    assertThat(turns).hasSize(1);
+
+    follower.onTurnReceived(turns.get(0), MonotonicClock.millis() + TURNS.periodMillis());
+    assertThat(known).containsExactly(Map.entry("a", "2"));
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
@@ -35,6 +36,7 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LoadReports;
+import dev.ibishub.wire.generated.ReadTurn;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -77,6 +79,7 @@
   private static final long STARTING_MILLIS = 4_000;
 
   private volatile NodeSettings settings;
+  private volatile ReadTurns configurationTurns;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
   private final ScheduledExecutorService ticker = group.next();
@@ -102,6 +105,7 @@
 
   private EntryNode(NodeSettings settings) {
     this.settings = settings;
+    configurationTurns = configurationTurns(settings);
     InetSocketAddress storeAddress = SocketAddresses.parse(settings.storeAddress().orElseThrow());
     PooledHttpClient httpClient = new PooledHttpClient(group);
     metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
@@ -122,8 +126,11 @@
             store,
             configuration,
             targets,
+            () -> configurationTurns,
             new StoreTopics.Listener(
-                this::broadcast, host -> mesh().addHosts(List.of(host), MonotonicClock.millis())));
+                this::broadcast,
+                host -> mesh().addHosts(List.of(host), MonotonicClock.millis()),
+                this::passTurn));
     transport = WireTransport.createOnGroup(identity(settings), group);
     mesh = newMesh();
     experts =
@@ -162,7 +169,11 @@
         transport,
         this::snapshots,
         new PeerMesh.Listener(
-            topics::onProgress, crashes::onReport, limits::onReport, this::onLoads));
+            topics::onProgress, crashes::onReport, limits::onReport, this::onLoads, this::onTurn));
+  }
+
+  private static ReadTurns configurationTurns(NodeSettings settings) {
+    return ReadTurns.within((long) settings.configurationMillis(), settings.storeReadsPerSecond());
   }
 
   private static RetryLimits retryLimits(NodeSettings settings) {
@@ -235,12 +246,24 @@
   /** Applies changed settings without interrupting requests. */
   private void applySettings(NodeSettings changed) {
     settings = changed;
+    configurationTurns = configurationTurns(changed);
     budgets.change(retryLimits(changed));
     stop.updateSettings(changed);
     mesh.addHosts(
         changed.seeds().stream().map(SocketAddresses::host).toList(), MonotonicClock.millis());
   }
 
+  private boolean passTurn(ReadTurn turn) {
+    boolean isSent = mesh().passTurn(turn);
+    metrics.onReadTurn(turn.getTopic(), isSent ? "passed" : "unsent");
+    return isSent;
+  }
+
+  private void onTurn(ReadTurn turn) {
+    metrics.onReadTurn(turn.getTopic(), "received");
+    topics.onTurn(turn);
+  }
+
   private void broadcast(Frame frame) {
     mesh.broadcast(frame);
   }
@@ -267,7 +290,8 @@
       mesh.tick(now);
       targets.tick(now);
       limits.tick(mesh.stayingHosts(now), now);
-      budgets.onEntries(mesh.entries(now), now);
+      int entries = mesh.entries(now);
+      budgets.onEntries(entries, now);
       leads = mesh.leads(now);
       int turn = mesh.position(now);
       boolean collects = mesh.isAmongFirst(LoadRelay.COLLECTORS, now);
@@ -281,13 +305,16 @@
         paths.pollUnlinked(engineHosts, now);
       }
       loads.tick(collects, now);
-      topics.tick(now, turn);
+      topics.tick(now, turn, entries);
       announce();
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
     boolean isBusy = leads || now - startedAt < STARTING_MILLIS;
-    ticker.schedule(this::tick, isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
+    long regular = isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS;
+    long untilRead = topics.configurationDueAt() - MonotonicClock.millis();
+    long delay = untilRead > 0 ? Math.min(untilRead, regular) : regular;
+    ticker.schedule(this::tick, delay, TimeUnit.MILLISECONDS);
   }
 
   private RankPaths paths() {
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -7,6 +7,7 @@
 /** Metrics of an entry other than those of requests. Thread-safe. */
 final class NodeMetrics {
   private final Counter storeCalls;
+  private final Counter readTurns;
 
   private final Gauge age;
   private final Gauge version;
@@ -41,6 +42,23 @@
             .help("Calls to the platform's store, by call and HTTP status, 0 for no answer.")
             .labelNames("call", "status")
             .register(registry);
+    readTurns =
+        Counter.builder()
+            .name("ibishub_read_turns_total")
+            .help(
+                "Turns to read a topic of the store that entries rejected by it pass to others:"
+                    + " passed, unsent where no other entry was linked, or received.")
+            .labelNames("topic", "outcome")
+            .register(registry);
+  }
+
+  /**
+   * Counts a turn to read a topic of the store that went from one entry to another.
+   *
+   * @param outcome passed, unsent or received
+   */
+  void onReadTurn(String topic, String outcome) {
+    readTurns.labelValues(topic, outcome).inc();
   }
 
   /**
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -5,6 +5,7 @@
 import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.records.FollowerOptions;
+import dev.ibishub.gateway.records.PassedTurn;
 import dev.ibishub.gateway.records.RecordBatch;
 import dev.ibishub.gateway.records.RecordFollower;
 import dev.ibishub.gateway.records.RecordFollower.RecordChange;
@@ -14,14 +15,18 @@
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.ReadTurn;
 import dev.ibishub.wire.generated.RecordProgress;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * The topics of the platform's store that an entry follows: configuration, targets and entries.
@@ -31,30 +36,28 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Options for the operator's configuration. One entry keeps a long poll open, to which the store
-   * responds at once on a change and otherwise after the timeout; the others read only if they
-   * receive nothing from it.
+   * Turns of reading the targets. Each target writes about once per second, so a long poll would
+   * return at every single write. A read every half second returns some ten writes, and a target
+   * that leaves is known within a quarter of the time allowed for it.
    */
-  private static final FollowerOptions CONFIGURATION =
-      new FollowerOptions(StoreClient.OPERATOR_TOPIC, new ReadTurns(50, 1_300, 1_000));
+  private static final ReadTurns TARGET_TURNS = ReadTurns.fixed(500, 250, 0);
 
-  /**
-   * Options for the targets. Each target writes about once per second, so a long poll would return
-   * at every single write. A read every half second returns some ten writes, and a target that
-   * leaves is known within a quarter of the time allowed for it.
-   */
   private static final FollowerOptions TARGETS =
-      new FollowerOptions(StoreClient.TARGETS_TOPIC, new ReadTurns(500, 250, 0));
+      new FollowerOptions(StoreClient.TARGETS_TOPIC, () -> TARGET_TURNS);
 
   /**
-   * Options for the entries. They are read rarely, since seeds and heartbeats name most of them.
+   * Turns of reading the entries. They are read rarely, since seeds and heartbeats name most of
+   * them.
    */
+  private static final ReadTurns ENTRY_TURNS = ReadTurns.fixed(5_000, 1_500, 0);
+
   private static final FollowerOptions ENTRIES =
-      new FollowerOptions(StoreClient.ENTRIES_TOPIC, new ReadTurns(5_000, 1_500, 0));
+      new FollowerOptions(StoreClient.ENTRIES_TOPIC, () -> ENTRY_TURNS);
 
   private final CurrentConfiguration configuration;
   private final TargetDirectory targets;
   private final Listener listener;
+  private final RecordFollower configurationFollower;
   private final RecordFollower targetFollower;
   private final List<RecordFollower> followers;
   private final Map<String, CachedSnapshot> snapshots = new ConcurrentHashMap<>();
@@ -64,22 +67,43 @@
    *
    * @param broadcast sends a message with records that this entry read to all linked entries
    * @param onEntryHost called with the IP address of an entry that the store lists
+   * @param passTurn passes a turn to read to the next entry; returns whether it was sent
    */
-  record Listener(Consumer<Frame> broadcast, Consumer<String> onEntryHost) {}
+  record Listener(
+      Consumer<Frame> broadcast, Consumer<String> onEntryHost, Predicate<ReadTurn> passTurn) {}
 
   /**
    * A cached message with a follower's snapshot, valid while the topic's end offset is the same.
    */
   private record CachedSnapshot(long end, Frame frame) {}
 
+  /**
+   * Creates empty copies of all topics.
+   *
+   * @param configurationTurns when each entry reads the operator's configuration; may change at any
+   *     time
+   */
   StoreTopics(
       StoreClient store,
       CurrentConfiguration configuration,
       TargetDirectory targets,
+      Supplier<ReadTurns> configurationTurns,
       Listener listener) {
     this.configuration = configuration;
     this.targets = targets;
     this.listener = listener;
+    // One entry keeps a long poll open, to which the store responds at once on a change and
+    // otherwise after the timeout; the others read only if they receive nothing from it.
+    FollowerOptions configurationOptions =
+        new FollowerOptions(StoreClient.OPERATOR_TOPIC, configurationTurns);
+    this.configurationFollower =
+        new RecordFollower(
+            configurationOptions,
+            store,
+            this::onConfigurationRecord,
+            batch -> broadcastBatch(configurationOptions, batch),
+            (before, after) -> false,
+            turn -> listener.passTurn().test(message(configurationOptions, turn)));
     this.targetFollower =
         new RecordFollower(
             TARGETS,
@@ -89,11 +113,7 @@
             TargetAnnouncementDecoder::isRenewal);
     this.followers =
         List.of(
-            new RecordFollower(
-                CONFIGURATION,
-                store,
-                this::onConfigurationRecord,
-                batch -> broadcastBatch(CONFIGURATION, batch)),
+            configurationFollower,
             targetFollower,
             new RecordFollower(
                 ENTRIES, store, this::onEntryRecord, batch -> broadcastBatch(ENTRIES, batch)));
@@ -104,9 +124,36 @@
    *
    * @param now current time of the monotonic clock, milliseconds
    * @param turn this entry's position in the order of reading, from 0
+   * @param entries number of entries, including this one
    */
-  void tick(long now, int turn) {
-    followers.forEach(follower -> follower.tick(now, turn));
+  void tick(long now, int turn, int entries) {
+    followers.forEach(follower -> follower.tick(now, turn, entries));
+  }
+
+  /**
+   * Returns when the operator's configuration is to be read next, by the monotonic clock in
+   * milliseconds; in the past while a read is open. Its turns may be shorter than the interval
+   * between ticks.
+   */
+  long configurationDueAt() {
+    return configurationFollower.dueAt();
+  }
+
+  /** Takes a turn to read that another entry passed to this one. */
+  void onTurn(ReadTurn message) {
+    if (message.getTopic().equals(configurationFollower.topic())) {
+      configurationFollower.onTurnReceived(
+          new PassedTurn(message.getWaitMillis(), Set.copyOf(message.getTriedList())),
+          MonotonicClock.millis());
+    }
+  }
+
+  private static ReadTurn message(FollowerOptions options, PassedTurn turn) {
+    return ReadTurn.newBuilder()
+        .setTopic(options.topic())
+        .setWaitMillis((int) turn.waitMillis())
+        .addAllTried(turn.tried())
+        .build();
   }
 
   /** Whether the targets have been received, from the store or another entry. */
