--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -199,4 +199,30 @@
     follower.onTurnReceived(turns.get(0), MonotonicClock.millis() + TURNS.periodMillis());
     assertThat(known).containsExactly(Map.entry("a", "2"));
   }
+
+  private static RecordBatch tombstone(long offset) {
+    return new RecordBatch(
+        offset,
+        offset + 1,
+        false,
+        List.of(new KeyedRecord(offset, "target-" + offset, Optional.empty())));
+  }
+
+  // Guards against live targets that are given up at once after an outage of the store: their
+  // records expired during it, but only the first batch after it counted as read over the gap.
+  @Test
+  void laterBatchesSoonAfterOutageCountAsReadOverTheGapToo() {
+    List<Long> outages = new ArrayList<>();
+    RecordFollower entry =
+        new RecordFollower(OPTIONS, log, change -> outages.add(change.outageMillis()), batch -> {});
+    long now = MonotonicClock.millis();
+    entry.onPeerBatch(new RecordBatch(0, 0, true, List.of()), now);
+
+    entry.onPeerBatch(tombstone(0), now + 10_000);
+    entry.onPeerBatch(tombstone(1), now + 10_500);
+    entry.onPeerBatch(tombstone(2), now + 11_500);
+    entry.onPeerBatch(tombstone(3), now + 12_500);
+
+    assertThat(outages).containsExactly(10_000L, 10_000L, 10_000L, 1_000L);
+  }
 }
