Count the gap of an outage for all batches soon after it

Cause: the store may list drops of records that expired during an outage in its second response or later, and targets announce themselves again only within two seconds; a drop in a second batch ended the target at once. Change: RecordFollower keeps the longest gap for two seconds after its end. Measured: the test seen failing before passes (RecordFollowerTest); the tests of TargetDirectory pass.

--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -38,6 +38,13 @@
 public final class RecordFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * Time after the end of an outage during which further records may still describe events of the
+   * outage, milliseconds. A live target whose record expired announces itself again within about
+   * two seconds.
+   */
+  private static final long RECOVERY_MILLIS = 2_000;
+
   private static final long UNKNOWN_OFFSET = -1;
 
   private final FollowerOptions options;
@@ -52,6 +59,7 @@
   private boolean historyLost;
   private boolean reachable = true;
   private long outageMillis;
+  private long outageCountsUntil;
   private int turn;
   private int entries = 1;
 
@@ -122,8 +130,9 @@
    * A new record.
    *
    * @param record the record
-   * @param outageMillis time from the previous confirmation of the local copy to the arrival of
-   *     this record, milliseconds; large after an outage of the store
+   * @param outageMillis longest time without confirmation of the local copy that ended with the
+   *     arrival of this record or less than two seconds before it, milliseconds; large after an
+   *     outage of the store
    */
   public record RecordChange(KeyedRecord record, long outageMillis) {}
 
@@ -325,10 +334,7 @@
   }
 
   private void applyBatch(RecordBatch batch, long now) {
-    // Records that arrive together after an outage may describe events from its beginning, so the
-    // whole gap counts for each of them.
-    long gap = now - schedule.confirmedAt();
-    long outage = nextOffset == UNKNOWN_OFFSET ? 0 : gap;
+    noteGap(nextOffset == UNKNOWN_OFFSET ? 0 : now - schedule.confirmedAt(), now);
     List<KeyedRecord> news = new ArrayList<>();
     batch.records().stream().filter(this::isNewer).forEach(news::add);
     if (batch.isSnapshot()) {
@@ -338,10 +344,21 @@
     nextOffset = Math.max(nextOffset, batch.end());
     schedule.onConfirmed(now);
     tried = Set.of();
-    outageMillis = outage;
     news.forEach(this::applyRecord);
   }
 
+  /**
+   * Notes the time without confirmation before a batch. Records that arrive after an outage may
+   * describe events from its beginning, so the whole gap counts for each of them, also for those of
+   * the next batches.
+   */
+  private void noteGap(long gap, long now) {
+    if (gap > outageMillis || now >= outageCountsUntil) {
+      outageMillis = gap;
+      outageCountsUntil = now + RECOVERY_MILLIS;
+    }
+  }
+
   private boolean isNewer(KeyedRecord record) {
     KeyedRecord known = newest.get(record.key());
     return known == null || record.offset() > known.offset();
