--- a/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
+++ b/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
@@ -123,7 +123,7 @@
       }
       long regular = turn == 0 ? FIRST_TICK_MILLIS : TICK_MILLIS;
       long untilDue = schedule.dueAt(turn, heard) - now;
-      at(untilDue > 0 ? Math.min(untilDue, regular) : regular, this, this::tick);
+      at(turn > 0 && untilDue > 0 ? Math.min(untilDue, regular) : regular, this, this::tick);
     }
 
     private void act(Decision decision) {
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -310,11 +310,19 @@
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
+    ticker.schedule(this::tick, tickDelay(leads, now), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns the time until the next tick, milliseconds. Turns of reading may be closer than the
+   * interval; only the first entry's polls keep to it, as more of them would cost calls.
+   */
+  private long tickDelay(boolean leads, long now) {
     boolean isBusy = leads || now - startedAt < STARTING_MILLIS;
     long regular = isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS;
-    long untilRead = topics.configurationDueAt() - MonotonicClock.millis();
-    long delay = untilRead > 0 ? Math.min(untilRead, regular) : regular;
-    ticker.schedule(this::tick, delay, TimeUnit.MILLISECONDS);
+    long untilRead = topics.configurationDueAt() - now;
+    boolean isDueBefore = mesh.position(now) > 0 && untilRead > 0 && untilRead < regular;
+    return isDueBefore ? untilRead : regular;
   }
 
   private RankPaths paths() {
