--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.records;
 
 import com.google.common.flogger.FluentLogger;
+import dev.ibishub.core.entries.ReadSchedule;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -23,7 +25,8 @@
  * <p>Calls to the store are charged for, so the entries share them: an entry that reads a batch
  * broadcasts it, and a follower reads by itself only if its copy has not been confirmed for its
  * period. Periods are staggered by the entries' order, so as long as the first entry can read, the
- * others don't. An entry that the store rejects still gets the records from its peers.
+ * others don't. An entry whose read fails passes its turn to the next one ({@link ReadSchedule}).
+ * An entry that the store rejects still gets the records from its peers.
  *
  * <p>Reads from the store can be seconds stale, so the copy never goes back: a record is applied
  * only if its offset is higher than that of the key's last record, and a snapshot only if it ends
@@ -36,40 +39,32 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /**
-   * Back-off after a failed read, milliseconds. A store that is down gets at most 4 calls per
-   * second from each entry.
+   * Time after the end of an outage during which further records may still describe events of the
+   * outage, milliseconds. A live target whose record expired announces itself again within about
+   * two seconds.
    */
-  private static final long RETRY_MILLIS = 250;
-
-  /**
-   * Number of entries with the full stagger between their reads. Later entries follow at {@link
-   * #LATER_STAGGER} of it. With the full stagger for all, the last of 42 entries would wait 42 s
-   * for a configuration while the first entries are rejected by the store or its links to them are
-   * broken.
-   */
-  static final int FULL_STAGGER_ENTRIES = 4;
-
-  /**
-   * Fraction of the stagger between later entries; long enough for the store's response to reach
-   * the next entry before that one reads.
-   */
-  private static final double LATER_STAGGER = 1.0 / 64;
+  private static final long RECOVERY_MILLIS = 2_000;
 
   private static final long UNKNOWN_OFFSET = -1;
 
   private final FollowerOptions options;
   private final KeyedLog log;
+  private final ReadSchedule schedule;
   private final Consumer<RecordChange> onChange;
   private final Consumer<RecordBatch> onRead;
   private final BiPredicate<KeyedRecord, KeyedRecord> isRenewal;
+  private final Predicate<PassedTurn> passTurn;
   private final Map<String, KeyedRecord> newest = new HashMap<>();
   private long nextOffset = UNKNOWN_OFFSET;
   private boolean historyLost;
-  private boolean reading;
-  private long confirmedAt = Long.MIN_VALUE / 2;
-  private long retryAt = Long.MIN_VALUE / 2;
   private boolean reachable = true;
   private long outageMillis;
+  private long outageCountsUntil;
+  private int turn;
+  private int entries = 1;
+
+  /** The entries that have passed on the turn which this one was passed in this round. */
+  private Set<String> tried = Set.of();
 
   /**
    * Creates an empty follower that passes on every record that it reads.
@@ -87,7 +82,7 @@
   }
 
   /**
-   * Creates an empty follower.
+   * Creates an empty follower that passes no turns on.
    *
    * @param onChange called with each new record
    * @param onRead called with each batch that this process read from the store, to broadcast it;
@@ -101,19 +96,43 @@
       Consumer<RecordChange> onChange,
       Consumer<RecordBatch> onRead,
       BiPredicate<KeyedRecord, KeyedRecord> isRenewal) {
+    this(options, log, onChange, onRead, isRenewal, turn -> false);
+  }
+
+  /**
+   * Creates an empty follower.
+   *
+   * @param onChange called with each new record
+   * @param onRead called with each batch that this process read from the store, to broadcast it;
+   *     called without the lock
+   * @param isRenewal whether the second of two records of a key, both with a value, only repeats
+   *     the content of the first; such records are left out of the batches passed to {@code onRead}
+   * @param passTurn sends a turn to the next entry, and returns whether it was sent; called without
+   *     the lock
+   */
+  public RecordFollower(
+      FollowerOptions options,
+      KeyedLog log,
+      Consumer<RecordChange> onChange,
+      Consumer<RecordBatch> onRead,
+      BiPredicate<KeyedRecord, KeyedRecord> isRenewal,
+      Predicate<PassedTurn> passTurn) {
     this.options = options;
+    this.schedule = new ReadSchedule(options.turns());
     this.log = log;
     this.onChange = onChange;
     this.onRead = onRead;
     this.isRenewal = isRenewal;
+    this.passTurn = passTurn;
   }
 
   /**
    * A new record.
    *
    * @param record the record
-   * @param outageMillis time from the previous confirmation of the local copy to the arrival of
-   *     this record, milliseconds; large after an outage of the store
+   * @param outageMillis longest time without confirmation of the local copy that ended with the
+   *     arrival of this record or less than two seconds before it, milliseconds; large after an
+   *     outage of the store
    */
   public record RecordChange(KeyedRecord record, long outageMillis) {}
 
@@ -129,7 +148,7 @@
 
   /** Returns the time since the local copy was last confirmed, milliseconds. */
   public synchronized long ageMillis(long now) {
-    return now - confirmedAt;
+    return now - schedule.confirmedAt();
   }
 
   /** Returns a snapshot for an entry that has just started; empty if nothing is known yet. */
@@ -140,36 +159,76 @@
   }
 
   /**
-   * Starts a read if one is due. To be called often.
+   * Starts a read, or passes the turn on, if that is due. To be called often.
    *
    * @param now current time of the monotonic clock, milliseconds
    * @param turn this entry's position in the order of reading, from 0
+   * @param entries number of entries, including this one
+   */
+  public void tick(long now, int turn, int entries) {
+    synchronized (this) {
+      this.turn = turn;
+      this.entries = entries;
+    }
+    actIfDue(now);
+  }
+
+  /**
+   * Returns when the next read is due, by the monotonic clock in milliseconds; in the past while
+   * one is open.
    */
-  public void tick(long now, int turn) {
+  public synchronized long dueAt() {
+    return schedule.dueAt(turn, entries);
+  }
+
+  /** Takes a turn that another entry passed to this one: reads, or passes it on in its turn. */
+  public void onTurnReceived(PassedTurn passed, long now) {
+    ReadSchedule.Decision decision;
+    synchronized (this) {
+      tried = passed.tried();
+      decision = schedule.onTurnReceived(now, passed.waitMillis());
+    }
+    act(decision);
+  }
+
+  private void actIfDue(long now) {
+    ReadSchedule.Decision decision;
+    synchronized (this) {
+      decision = schedule.next(now, turn, entries);
+    }
+    act(decision);
+  }
+
+  private void act(ReadSchedule.Decision decision) {
+    switch (decision.action()) {
+      case READ -> read(decision.waitMillis());
+      case PASS -> pass(decision.waitMillis());
+      default -> {}
+    }
+  }
+
+  private void read(long waitMillis) {
     boolean needsSnapshot;
     long from;
     synchronized (this) {
-      long due =
-          confirmedAt
-              + options.periodMillis()
-              + (long) (staggerFactor(turn) * options.staggerMillis());
-      if (reading || now < retryAt || now < due) {
-        return;
-      }
-      reading = true;
       needsSnapshot = nextOffset == UNKNOWN_OFFSET || historyLost;
       from = nextOffset;
     }
     var batch =
-        needsSnapshot
-            ? log.newest(options.topic())
-            : log.read(options.topic(), from, turn == 0 ? options.waitMillis() : 0);
+        needsSnapshot ? log.newest(options.topic()) : log.read(options.topic(), from, waitMillis);
     batch.whenComplete((read, failure) -> onReadDone(read, failure));
   }
 
-  private static double staggerFactor(int turn) {
-    return Math.min(turn, FULL_STAGGER_ENTRIES)
-        + LATER_STAGGER * Math.max(0, turn - FULL_STAGGER_ENTRIES);
+  private void pass(long waitMillis) {
+    PassedTurn passed;
+    synchronized (this) {
+      passed = new PassedTurn(waitMillis, tried);
+    }
+    if (passTurn.test(passed)) {
+      synchronized (this) {
+        schedule.onPassed();
+      }
+    }
   }
 
   /**
@@ -194,7 +253,6 @@
     long now = MonotonicClock.millis();
     Optional<RecordBatch> toBroadcast = Optional.empty();
     synchronized (this) {
-      reading = false;
       if (failure != null) {
         onFailure(failure, now);
       } else if (batch.isSnapshot() && batch.end() < nextOffset) {
@@ -204,14 +262,19 @@
                 .with("topic", options.topic())
                 .with("end", batch.end())
                 .with("known", nextOffset));
-        retryAt = now + RETRY_MILLIS;
+        schedule.onReadFailed(now, entries);
       } else {
+        schedule.onReadDone();
         onReachable(now);
         historyLost = historyLost && !batch.isSnapshot();
         toBroadcast = Optional.of(batch.isSnapshot() ? batch : withoutRenewals(batch));
         applyBatch(batch, now);
       }
     }
+    if (toBroadcast.isEmpty()) {
+      // The next entry is to read at once, not when this one ticks again.
+      actIfDue(now);
+    }
     toBroadcast.ifPresent(onRead);
   }
 
@@ -241,19 +304,20 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof KeyedLog.HistoryLostException) {
       historyLost = true;
+      schedule.onReadDone();
       logger.atInfo().log(
           "%s",
           LogEvent.of("store.history_lost").with("topic", options.topic()).with("at", nextOffset));
       return;
     }
-    retryAt = now + RETRY_MILLIS;
+    schedule.onReadFailed(now, entries);
     if (reachable) {
       reachable = false;
       logger.atWarning().log(
           "%s",
           LogEvent.of("store.lost")
               .with("topic", options.topic())
-              .with("age_ms", now - confirmedAt)
+              .with("age_ms", now - schedule.confirmedAt())
               .with("cause", cause));
     }
   }
@@ -265,15 +329,12 @@
           "%s",
           LogEvent.of("store.back")
               .with("topic", options.topic())
-              .with("age_ms", now - confirmedAt));
+              .with("age_ms", now - schedule.confirmedAt()));
     }
   }
 
   private void applyBatch(RecordBatch batch, long now) {
-    // Records that arrive together after an outage may describe events from its beginning, so the
-    // whole gap counts for each of them.
-    long gap = now - confirmedAt;
-    long outage = nextOffset == UNKNOWN_OFFSET ? 0 : gap;
+    noteGap(nextOffset == UNKNOWN_OFFSET ? 0 : now - schedule.confirmedAt(), now);
     List<KeyedRecord> news = new ArrayList<>();
     batch.records().stream().filter(this::isNewer).forEach(news::add);
     if (batch.isSnapshot()) {
@@ -283,11 +344,23 @@
           .forEach(key -> news.add(new KeyedRecord(deletedAt, key, Optional.empty())));
     }
     nextOffset = Math.max(nextOffset, batch.end());
-    confirmedAt = now;
-    outageMillis = outage;
+    schedule.onConfirmed(now);
+    tried = Set.of();
     news.forEach(this::applyRecord);
   }
 
+  /**
+   * Notes the time without confirmation before a batch. Records that arrive after an outage may
+   * describe events from its beginning, so the whole gap counts for each of them, also for those of
+   * the next batches.
+   */
+  private void noteGap(long gap, long now) {
+    if (gap > outageMillis || now >= outageCountsUntil) {
+      outageMillis = gap;
+      outageCountsUntil = now + RECOVERY_MILLIS;
+    }
+  }
+
   private boolean isNewer(KeyedRecord record) {
     KeyedRecord known = newest.get(record.key());
     return known == null || record.offset() > known.offset();
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.runtime.MonotonicClock;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,7 +14,8 @@
 import org.junit.jupiter.api.Test;
 
 final class RecordFollowerTest {
-  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", 500, 250, 0);
+  private static final ReadTurns TURNS = ReadTurns.fixed(500, 250, 0);
+  private static final FollowerOptions OPTIONS = new FollowerOptions("topic", () -> TURNS);
 
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final Map<String, String> known = new TreeMap<>();
@@ -34,7 +36,7 @@
 
   /** Makes the follower read the log as if its period were over. */
   private void read() {
-    follower.tick(MonotonicClock.millis() + 10_000, 0);
+    follower.tick(MonotonicClock.millis() + 10_000, 0, 42);
   }
 
   @Test
@@ -113,8 +115,8 @@
     log.put("a", "1");
     read();
     int before = log.calls();
-    follower.tick(MonotonicClock.millis() + 400, 0);
-    follower.tick(MonotonicClock.millis() + 600, 1);
+    follower.tick(MonotonicClock.millis() + 400, 0, 42);
+    follower.tick(MonotonicClock.millis() + 600, 1, 42);
 
     assertThat(log.calls()).isEqualTo(before);
   }
@@ -163,12 +165,12 @@
     long after = MonotonicClock.millis();
     log.put("a", "2");
     long fullStaggerMillis =
-        OPTIONS.periodMillis() + RecordFollower.FULL_STAGGER_ENTRIES * OPTIONS.staggerMillis();
+        TURNS.periodMillis() + ReadTurns.FULL_STAGGER_ENTRIES * TURNS.staggerMillis();
 
-    follower.tick(before + fullStaggerMillis, 41);
+    follower.tick(before + fullStaggerMillis, 41, 42);
     assertThat(known).containsEntry("a", "1");
 
-    follower.tick(after + fullStaggerMillis + OPTIONS.staggerMillis(), 41);
+    follower.tick(after + fullStaggerMillis + TURNS.staggerMillis(), 41, 42);
     assertThat(known).containsEntry("a", "2");
   }
 
@@ -182,18 +184,64 @@
     RecordFollower reader =
         new RecordFollower(OPTIONS, log, change -> {}, passedOn::add, RecordFollowerTest::sameText);
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 10_000, 0);
+    reader.tick(MonotonicClock.millis() + 10_000, 0, 42);
     log.put("a", "1");
     log.put("b", "1");
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 20_000, 0);
+    reader.tick(MonotonicClock.millis() + 20_000, 0, 42);
     log.delete("a");
     log.put("a", "1");
-    reader.tick(MonotonicClock.millis() + 30_000, 0);
+    reader.tick(MonotonicClock.millis() + 30_000, 0, 42);
 
     assertThat(passedOn)
         .extracting(batch -> batch.records().stream().map(KeyedRecord::key).toList())
         .containsExactly(List.of("a"), List.of("b"), List.of("a", "a"));
     assertThat(passedOn).extracting(RecordBatch::end).containsExactly(1L, 4L, 6L);
   }
+
+  // Guards against a configuration that is late because the store rejects the first reader: its
+  // turn passed only after a time.
+  @Test
+  void rejectedEntryPassesTurnAtOnceAndNextOneReads() {
+    List<PassedTurn> turns = new ArrayList<>();
+    RecordFollower rejected =
+        new RecordFollower(
+            OPTIONS, log, change -> {}, batch -> {}, (before, after) -> false, turns::add);
+    log.put("a", "1");
+    read();
+    log.put("a", "2");
+    log.setDown(true);
+    rejected.tick(MonotonicClock.millis(), 0, 2);
+    log.setDown(false);
+    assertThat(turns).hasSize(1);
+
+    follower.onTurnReceived(turns.get(0), MonotonicClock.millis() + TURNS.periodMillis());
+    assertThat(known).containsExactly(Map.entry("a", "2"));
+  }
+
+  private static RecordBatch tombstone(long offset) {
+    return new RecordBatch(
+        offset,
+        offset + 1,
+        false,
+        List.of(new KeyedRecord(offset, "target-" + offset, Optional.empty())));
+  }
+
+  // Guards against live targets that are given up at once after an outage of the store: their
+  // records expired during it, but only the first batch after it counted as read over the gap.
+  @Test
+  void laterBatchesSoonAfterOutageCountAsReadOverTheGapToo() {
+    List<Long> outages = new ArrayList<>();
+    RecordFollower entry =
+        new RecordFollower(OPTIONS, log, change -> outages.add(change.outageMillis()), batch -> {});
+    long now = MonotonicClock.millis();
+    entry.onPeerBatch(new RecordBatch(0, 0, true, List.of()), now);
+
+    entry.onPeerBatch(tombstone(0), now + 10_000);
+    entry.onPeerBatch(tombstone(1), now + 10_500);
+    entry.onPeerBatch(tombstone(2), now + 11_500);
+    entry.onPeerBatch(tombstone(3), now + 12_500);
+
+    assertThat(outages).containsExactly(10_000L, 10_000L, 10_000L, 1_000L);
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.core.entries.RememberedEntries;
 import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.LimitDivision;
@@ -37,6 +38,7 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LoadReports;
+import dev.ibishub.wire.generated.ReadTurn;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -79,6 +81,7 @@
   private static final long STARTING_MILLIS = 4_000;
 
   private volatile NodeSettings settings;
+  private volatile ReadTurns configurationTurns;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
   private final ScheduledExecutorService ticker = group.next();
@@ -106,6 +109,7 @@
 
   private EntryNode(NodeSettings settings) {
     this.settings = settings;
+    configurationTurns = configurationTurns(settings);
     InetSocketAddress storeAddress = SocketAddresses.parse(settings.storeAddress().orElseThrow());
     PooledHttpClient httpClient = new PooledHttpClient(group);
     metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
@@ -130,7 +134,9 @@
             configuration,
             evacuations,
             targets,
-            new StoreTopics.Listener(this::broadcast, host -> addHosts(List.of(host))));
+            () -> configurationTurns,
+            new StoreTopics.Listener(
+                this::broadcast, host -> addHosts(List.of(host)), this::passTurn));
     transport = WireTransport.createOnGroup(identity(settings), group);
     mesh = newMesh();
     experts =
@@ -169,7 +175,11 @@
         transport,
         this::snapshots,
         new PeerMesh.Listener(
-            topics::onProgress, crashes::onReport, limits::onReport, this::onLoads));
+            topics::onProgress, crashes::onReport, limits::onReport, this::onLoads, this::onTurn));
+  }
+
+  private static ReadTurns configurationTurns(NodeSettings settings) {
+    return ReadTurns.within((long) settings.configurationMillis(), settings.storeReadsPerSecond());
   }
 
   private static RetryLimits retryLimits(NodeSettings settings) {
@@ -241,6 +251,7 @@
   /** Applies changed settings without interrupting requests. */
   private void applySettings(NodeSettings changed) {
     settings = changed;
+    configurationTurns = configurationTurns(changed);
     budgets.change(retryLimits(changed));
     stop.updateSettings(changed);
     addHosts(changed.seeds().stream().map(SocketAddresses::host).toList());
@@ -264,6 +275,17 @@
                 new ColdLimit(requestsPerSecond, settings.coldOverrun(), settings.coldSlack()));
   }
 
+  private boolean passTurn(ReadTurn turn) {
+    boolean isSent = mesh().passTurn(turn);
+    metrics.onReadTurn(turn.getTopic(), isSent ? "passed" : "unsent");
+    return isSent;
+  }
+
+  private void onTurn(ReadTurn turn) {
+    metrics.onReadTurn(turn.getTopic(), "received");
+    topics.onTurn(turn);
+  }
+
   private void broadcast(Frame frame) {
     mesh.broadcast(frame);
   }
@@ -298,7 +320,8 @@
       limits.tick(stayingHosts, now);
       remembered.onHeard(stayingHosts, now);
       limits.tickCold(remembered.participants(now), now);
-      budgets.onEntries(mesh.entries(now), now);
+      int entries = mesh.entries(now);
+      budgets.onEntries(entries, now);
       leads = mesh.leads(now);
       int turn = mesh.position(now);
       boolean collects = mesh.isAmongFirst(LoadRelay.COLLECTORS, now);
@@ -312,13 +335,24 @@
         paths.pollUnlinked(engineHosts, now);
       }
       loads.tick(collects, now);
-      topics.tick(now, turn);
+      topics.tick(now, turn, entries);
       announce();
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
+    ticker.schedule(this::tick, tickDelay(leads, now), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns the time until the next tick, milliseconds. Turns of reading may be closer than the
+   * interval; only the first entry's polls keep to it, as more of them would cost calls.
+   */
+  private long tickDelay(boolean leads, long now) {
     boolean isBusy = leads || now - startedAt < STARTING_MILLIS;
-    ticker.schedule(this::tick, isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
+    long regular = isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS;
+    long untilRead = topics.configurationDueAt() - now;
+    boolean isDueBefore = mesh.position(now) > 0 && untilRead > 0 && untilRead < regular;
+    return isDueBefore ? untilRead : regular;
   }
 
   private RankPaths paths() {
