Failing tests: a restarted or joined entry can retry

Change: only the entries of the first start have firstStart; streams that break off and a target that is gone are also tried at an entry that restarted and at one that joined.

--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -55,6 +55,7 @@
     deployment.startEntry("entry-1", "127.0.1.1", "127.0.1.1");
     deployment.startEntry("entry-2", "127.0.1.2", "127.0.1.1");
     deployment.await("both entries listed", () -> isListed("entry-1") && isListed("entry-2"));
+    deployment.endFirstStart();
   }
 
   @AfterEach
@@ -66,6 +67,19 @@
     return deployment.resolve("entry-1").contains(deployment.callerAddress(entry));
   }
 
+  /** Kills an entry and starts it again at the same address. */
+  private void restartEntry2() throws IOException, InterruptedException {
+    deployment.process("entry-2").destroyForcibly();
+    deployment.await("not listed", () -> !isListed("entry-2"));
+    startLater("entry-2", "127.0.1.2");
+  }
+
+  /** Starts an entry that is not part of the system's first start. */
+  private void startLater(String entry, String host) throws IOException, InterruptedException {
+    deployment.startEntry(entry, host, "127.0.1.1");
+    deployment.await("entry listed", () -> isListed(entry));
+  }
+
   private HttpResponse<String> page(String entry) throws IOException, InterruptedException {
     return deployment.call(entry, "GET", "/page/x?y=%20z", "key-1");
   }
@@ -96,9 +110,27 @@
   // caller received ended.
   @Test
   void brokenStreamGoesOnAtAnotherTarget() throws IOException, InterruptedException {
+    assertBrokenStreamsGoOn("entry-1");
+  }
+
+  // Guards against an entry that has no retry left for a whole window after it restarted.
+  @Test
+  void brokenStreamGoesOnAtEntryThatRestarted() throws IOException, InterruptedException {
+    restartEntry2();
+    assertBrokenStreamsGoOn("entry-2");
+  }
+
+  // Guards against an entry that has no retry for a whole window after it joined the others.
+  @Test
+  void brokenStreamGoesOnAtEntryThatJoined() throws IOException, InterruptedException {
+    startLater("entry-3", "127.0.1.3");
+    assertBrokenStreamsGoOn("entry-3");
+  }
+
+  private void assertBrokenStreamsGoOn(String entry) throws IOException, InterruptedException {
     first.breakStreamsAfter(2);
     for (int i = 0; i < 6; i++) {
-      String body = deployment.call("entry-1", "POST", "/stream/a", "").body();
+      String body = deployment.call(entry, "POST", "/stream/a", "").body();
       assertThat(body.lines().filter(line -> line.startsWith("id: ")))
           .containsExactly("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
     }
@@ -176,13 +208,34 @@
 
   @Test
   void targetThatIsGoneWithoutNoticeCostsNoRequest() throws IOException, InterruptedException {
+    assertLostTargetCostsNoRequest("entry-1", "entry-2");
+  }
+
+  // Guards against 503 at an entry that has no retry left for a whole window after it restarted.
+  @Test
+  void targetThatIsGoneCostsNoRequestAtEntryThatRestarted()
+      throws IOException, InterruptedException {
+    restartEntry2();
+    assertLostTargetCostsNoRequest("entry-2", "entry-2");
+  }
+
+  // Guards against 503 at an entry that has no retry for a whole window after it joined the others.
+  @Test
+  void targetThatIsGoneCostsNoRequestAtEntryThatJoined() throws IOException, InterruptedException {
+    startLater("entry-3", "127.0.1.3");
+    assertLostTargetCostsNoRequest("entry-3", "entry-3");
+  }
+
+  private void assertLostTargetCostsNoRequest(String entry, String entryForCallsThatRunOnce)
+      throws IOException, InterruptedException {
     first.close();
     for (int i = 0; i < 10; i++) {
-      assertThat(page("entry-1").statusCode()).isEqualTo(200);
-      assertThat(deployment.call("entry-2", "POST", "/once/a", "").statusCode()).isEqualTo(200);
+      assertThat(page(entry).statusCode()).isEqualTo(200);
+      assertThat(deployment.call(entryForCallsThatRunOnce, "POST", "/once/a", "").statusCode())
+          .isEqualTo(200);
     }
     deployment.store().put("keyed.servers", "i-1", "");
-    assertThat(page("entry-1").statusCode()).isEqualTo(200);
+    assertThat(page(entry).statusCode()).isEqualTo(200);
   }
 
   private boolean getsNoneOfNext(TargetStandIn target, int requests)
