Divide the retry allowance by incarnations of entries

Change: the allowance is divided by the largest number of entries seen and one more for each that started within the window, as its predecessor may have spent there too. An entry has its part as soon as it can know the others, and none while it hears no other. Two fifths of the allowance are divided instead of three quarters, so that the budget also holds when all entries restart at once.

--- a/core/src/main/java/dev/ibishub/core/entries/EntryFacts.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryFacts.java
@@ -7,7 +7,8 @@
  *
  * @param host its IP address
  * @param callerAddress the host and port where it accepts requests of callers
- * @param startedAt when it started, milliseconds of its own wall clock; used only to order entries
+ * @param startedAt when it started, milliseconds of its own wall clock; orders the entries and
+ *     tells which of them started lately
  * @param isReady whether callers may be sent there
  * @param isLeaving whether it is about to stop, though it still answers
  */
--- a/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
@@ -190,6 +190,15 @@
     return (int) living(now).count();
   }
 
+  /**
+   * Returns how many other entries are alive that started after a time.
+   *
+   * @param startedAfter milliseconds of the wall clock
+   */
+  public int countAliveStartedAfter(long startedAfter, long now) {
+    return (int) living(now).filter(known -> known.startedAt() > startedAfter).count();
+  }
+
   /**
    * Returns this entry's position in order, from 0, among the live entries that are not leaving.
    */
--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -11,19 +11,21 @@
  * Thread-safe by one lock.
  *
  * <p>The budget holds without any messages between entries: each counts only its own requests and
- * spends only its own part of the allowance. An entry that has just started has no part yet, as the
- * process that ran in its place before may have spent it. Entries that disappear keep their parts
- * for a while, see {@link #tryRetry}.
+ * spends only its own part of the allowance. The allowance is divided by {@link
+ * dev.ibishub.core.entries.IncarnationCount incarnations}, so an entry that restarts has a part at
+ * once although its predecessor may have spent one.
  */
 public final class SharedRetryBudget {
   /**
-   * The share of the allowance that is used. The rest is a margin for windows that begin and end at
-   * other times than the windows in which this entry counts.
+   * The share of the allowance that is used. If all entries restart at once, their predecessors
+   * have spent this share and they spend half of it again, as they count each entry twice: six
+   * tenths of the allowance. The rest is a margin for requests that earn retries before and after a
+   * restart; with a share of 0.5, three entries that all restart at once exceeded the budget by 7
+   * retries.
    */
-  private static final double USED_ALLOWANCE_SHARE = 0.75;
+  private static final double USED_ALLOWANCE_SHARE = 0.4;
 
   private final Supplier<RetryLimits> limits;
-  private final long allowanceFrom;
   private final Deque<Long> requests = new ArrayDeque<>();
   private final Deque<Long> retries = new ArrayDeque<>();
 
@@ -32,12 +34,9 @@
    *
    * @param limits the limits in force; they may change, and earlier requests and retries still
    *     count then
-   * @param allowanceFrom from when this entry has a part of the allowance, milliseconds: one window
-   *     after it started, or at once if no process ran in its place before
    */
-  public SharedRetryBudget(Supplier<RetryLimits> limits, long allowanceFrom) {
+  public SharedRetryBudget(Supplier<RetryLimits> limits) {
     this.limits = limits;
-    this.allowanceFrom = allowanceFrom;
   }
 
   /** Counts a request's first attempt. */
@@ -50,26 +49,23 @@
    * Spends one retry if the budget allows it.
    *
    * @param now the current time, milliseconds
-   * @param entries how many entries may have used the allowance in this window, 1 or more. This is
-   *     the largest number seen over several windows, as an entry that is no longer seen may only
-   *     be cut off.
+   * @param incarnations how many incarnations of entries may have used the allowance in this
+   *     window; 0 if that is not known, and then only this entry's requests earn retries
    * @return false if the budget is used up
    */
-  public synchronized boolean tryRetry(long now, int entries) {
+  public synchronized boolean tryRetry(long now, int incarnations) {
     evictExpired(now);
-    if (retries.size() + 1 > allowed(now, entries)) {
+    if (retries.size() + 1 > allowed(incarnations)) {
       return false;
     }
     retries.addLast(now);
     return true;
   }
 
-  private double allowed(long now, int entries) {
+  private double allowed(int incarnations) {
     RetryLimits inForce = limits.get();
     double ownPart =
-        now < allowanceFrom
-            ? 0
-            : USED_ALLOWANCE_SHARE * inForce.sharedAllowance() / Math.max(1, entries);
+        incarnations == 0 ? 0 : USED_ALLOWANCE_SHARE * inForce.sharedAllowance() / incarnations;
     return inForce.retriesPerRequest() * requests.size() + ownPart;
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
@@ -1,6 +1,6 @@
 package dev.ibishub.gateway.front;
 
-import dev.ibishub.core.entries.SlidingMaximum;
+import dev.ibishub.core.entries.IncarnationCount;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedRetryBudget;
 import java.util.Map;
@@ -11,25 +11,23 @@
  * dev.ibishub.core.RetryBudget} is the counterpart behind ibishub's own interface.
  */
 public final class RetryBudgets {
-  /** Retry windows for which an entry that is no longer seen keeps its part of the budgets. */
-  private static final int ENTRY_COUNT_WINDOWS = 10;
-
   private final Map<String, SharedRetryBudget> byService = new ConcurrentHashMap<>();
-  private final SlidingMaximum entries;
-  private final long allowanceFrom;
+
+  private final IncarnationCount incarnations;
   private volatile RetryLimits limits;
 
   /**
    * Creates budgets that are not used yet.
    *
    * @param startedAt when this process started, on the monotonic clock, milliseconds
-   * @param isFirstStart whether no process ran in its place before; otherwise it has no part of the
-   *     shared allowance in its first window, as its predecessor may have spent it
+   * @param isFirstStart whether the whole system starts for the first time, so that no entry that
+   *     starts within this entry's first window has a predecessor
    */
   public RetryBudgets(RetryLimits limits, long startedAt, boolean isFirstStart) {
     this.limits = limits;
-    this.allowanceFrom = isFirstStart ? startedAt : startedAt + limits.windowMillis();
-    this.entries = new SlidingMaximum(ENTRY_COUNT_WINDOWS * limits.windowMillis());
+    this.incarnations =
+        new IncarnationCount(
+            limits.windowMillis(), isFirstStart ? startedAt + limits.windowMillis() : startedAt);
   }
 
   /** Changes the limits of all budgets; requests and retries counted so far still count. */
@@ -37,9 +35,16 @@
     limits = newLimits;
   }
 
-  /** Takes in how many entries there are, this one included. To be called often. */
-  public void onEntries(int number, long now) {
-    entries.onSeen(number, now);
+  /**
+   * Takes in which entries are alive. To be called often, once this entry has had time to hear the
+   * others; until then it has no part of the shared allowance.
+   *
+   * @param alive how many entries are alive, including this one
+   * @param startedInWindow how many of them started within the last retry window
+   * @param now the current time on the monotonic clock, milliseconds
+   */
+  public void onEntries(int alive, int startedInWindow, long now) {
+    incarnations.onSeen(alive, startedInWindow, now);
   }
 
   /** Counts a request's first attempt at a service. */
@@ -49,11 +54,10 @@
 
   /** Takes one retry from a service's budget; returns false when the budget is used up. */
   boolean tryRetry(String service, long now) {
-    return of(service).tryRetry(now, entries.largest());
+    return of(service).tryRetry(now, incarnations.get());
   }
 
   private SharedRetryBudget of(String service) {
-    return byService.computeIfAbsent(
-        service, key -> new SharedRetryBudget(() -> limits, allowanceFrom));
+    return byService.computeIfAbsent(service, key -> new SharedRetryBudget(() -> limits));
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -222,6 +222,17 @@
     return 1 + roster.countAlive(now);
   }
 
+  /**
+   * Returns how many of {@link #entries} started after a time. Clocks of VMs that differ count an
+   * entry earlier or later by the difference.
+   *
+   * @param startedAfter milliseconds of the wall clock
+   */
+  public synchronized int entriesStartedAfter(long startedAfter, long now) {
+    return (self.startedAt() > startedAfter ? 1 : 0)
+        + roster.countAliveStartedAfter(startedAfter, now);
+  }
+
   /** Returns the hosts of the entries that are not leaving, including this one unless it is. */
   public synchronized Set<String> stayingHosts(long now) {
     Stream<String> others =
@@ -240,10 +251,23 @@
    * does must tolerate that.
    */
   public synchronized boolean leads(long now) {
-    boolean hasSettled =
-        now >= mayLeadFrom
-            && (now >= mayLeadFrom + EXTRA_SETTLING_MILLIS || !roster.isAnyPending(now));
-    return hasSettled && isAmongFirst(1, now);
+    return hasSettled(now) && isAmongFirst(1, now);
+  }
+
+  /**
+   * Whether this entry can know all others: it has had time to hear them, or it hears one that had
+   * that time before this one started.
+   */
+  public synchronized boolean knowsEntries(long now) {
+    int startedTogether = roster.countAliveStartedAfter(self.startedAt() - SETTLING_MILLIS, now);
+    return hasSettled(now) || roster.countAlive(now) > startedTogether;
+  }
+
+  /** Whether this entry has had time to hear the others since its start or its last stall. */
+  private boolean hasSettled(long now) {
+    return mayLeadFrom != 0
+        && now >= mayLeadFrom
+        && (now >= mayLeadFrom + EXTRA_SETTLING_MILLIS || !roster.isAnyPending(now));
   }
 
   /**
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/RetryBudgetsTest.java
@@ -0,0 +1,27 @@
+package dev.ibishub.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.serving.RetryLimits;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class RetryBudgetsTest {
+  private static final long WINDOW_MILLIS = 10_000;
+
+  private final RetryBudgets budgets =
+      new RetryBudgets(new RetryLimits(0.1, 30, WINDOW_MILLIS), 0, false);
+
+  private long granted(long now) {
+    return IntStream.range(0, 100).filter(any -> budgets.tryRetry("pages", now)).count();
+  }
+
+  // Guards against an entry that restarts and has no part of the allowance for a whole window.
+  @Test
+  void restartedEntryHasPartOfAllowanceOnceItHearsOthers() {
+    assertThat(granted(0)).isZero();
+
+    budgets.onEntries(3, 1, 1);
+    assertThat(granted(1)).isEqualTo(3);
+  }
+}
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -267,7 +267,7 @@
       mesh.tick(now);
       targets.tick(now);
       limits.tick(mesh.stayingHosts(now), now);
-      budgets.onEntries(mesh.entries(now), now);
+      countEntries(now);
       leads = mesh.leads(now);
       int turn = mesh.position(now);
       boolean collects = mesh.isAmongFirst(LoadRelay.COLLECTORS, now);
@@ -290,6 +290,14 @@
     ticker.schedule(this::tick, isBusy ? BUSY_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Tells the retry budgets how many entries there are, once that can be known. */
+  private void countEntries(long now) {
+    if (settings.isFirstStart() || mesh.knowsEntries(now)) {
+      long windowStart = System.currentTimeMillis() - retryLimits(settings).windowMillis();
+      budgets.onEntries(mesh.entries(now), mesh.entriesStartedAfter(windowStart, now), now);
+    }
+  }
+
   private RankPaths paths() {
     return paths;
   }
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -95,12 +95,14 @@
                   "",
                   0,
                   1_000_000,
-                  "Retries in a window that all entries together have besides.")
+                  "Retries in a window that entries share; one that hears no other has none.")
               .defaultingTo(0.0),
           Key.integer("retryWindowSeconds", "s", 1, 3_600, "Length of that window.")
               .defaultingTo(10L),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
-          Key.flag("firstStart", "Whether the whole system starts for the first time.")
+          Key.flag(
+                  "firstStart",
+                  "Whether the whole system starts for the first time; no entry has a predecessor.")
               .defaultingTo(false));
 
   private static final Map<String, Function<NodeSettings, Object>> FIXED_KEYS =
