Count and log retries that the budget refuses

Cause: attempt.failed does not tell a used up retry budget from a request that may not be repeated, and a stream that is not resumed for lack of budget left no trace. Change: ibishub_retries_refused_total by service, and retry.refused with the service's requests, retries, allowed retries and divisor, once until a retry is granted again.

--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -29,6 +29,28 @@
   private final Deque<Long> requests = new ArrayDeque<>();
   private final Deque<Long> retries = new ArrayDeque<>();
 
+  /**
+   * What a budget has at one time.
+   *
+   * @param requests this entry's requests of the last window
+   * @param retries its retries of the last window
+   * @param allowed the retries that it may have in this window, a fraction included
+   */
+  public record Balance(int requests, int retries, double allowed) {
+    /** Checks that nothing is negative. */
+    public Balance {
+      if (requests < 0 || retries < 0 || allowed < 0) {
+        throw new IllegalArgumentException(
+            "need counts >= 0, was %d, %d, %s".formatted(requests, retries, allowed));
+      }
+    }
+
+    /** Whether there is one more retry. */
+    public boolean allowsAnother() {
+      return retries + 1 <= allowed;
+    }
+  }
+
   /**
    * Creates a budget.
    *
@@ -54,14 +76,19 @@
    * @return false if the budget is used up
    */
   public synchronized boolean tryRetry(long now, int incarnations) {
-    evictExpired(now);
-    if (retries.size() + 1 > allowed(incarnations)) {
+    if (!balance(now, incarnations).allowsAnother()) {
       return false;
     }
     retries.addLast(now);
     return true;
   }
 
+  /** Returns what the budget has; the parameters are those of {@link #tryRetry}. */
+  public synchronized Balance balance(long now, int incarnations) {
+    evictExpired(now);
+    return new Balance(requests.size(), retries.size(), allowed(incarnations));
+  }
+
   private double allowed(int incarnations) {
     RetryLimits inForce = limits.get();
     double ownPart =
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RetryBudgets.java
@@ -1,9 +1,14 @@
 package dev.ibishub.gateway.front;
 
+import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.entries.IncarnationCount;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedRetryBudget;
+import dev.ibishub.runtime.LogEvent;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -11,9 +16,15 @@
  * dev.ibishub.core.RetryBudget} is the counterpart behind ibishub's own interface.
  */
 public final class RetryBudgets {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final Map<String, SharedRetryBudget> byService = new ConcurrentHashMap<>();
 
+  /** The services whose last retry was refused; a refusal is logged only after a granted one. */
+  private final Set<String> exhausted = ConcurrentHashMap.newKeySet();
+
   private final IncarnationCount incarnations;
+  private final Counter refusals;
   private volatile RetryLimits limits;
 
   /**
@@ -22,12 +33,20 @@
    * @param startedAt when this process started, on the monotonic clock, milliseconds
    * @param isFirstStart whether the whole system starts for the first time, so that no entry that
    *     starts within this entry's first window has a predecessor
+   * @param registry where the metrics are registered
    */
-  public RetryBudgets(RetryLimits limits, long startedAt, boolean isFirstStart) {
+  public RetryBudgets(
+      RetryLimits limits, long startedAt, boolean isFirstStart, PrometheusRegistry registry) {
     this.limits = limits;
     this.incarnations =
         new IncarnationCount(
             limits.windowMillis(), isFirstStart ? startedAt + limits.windowMillis() : startedAt);
+    this.refusals =
+        Counter.builder()
+            .name("ibishub_retries_refused_total")
+            .help("Retries refused because the retry budget was used up, by service.")
+            .labelNames("service")
+            .register(registry);
   }
 
   /** Changes the limits of all budgets; requests and retries counted so far still count. */
@@ -54,7 +73,28 @@
 
   /** Takes one retry from a service's budget; returns false when the budget is used up. */
   boolean tryRetry(String service, long now) {
-    return of(service).tryRetry(now, incarnations.get());
+    if (of(service).tryRetry(now, incarnations.get())) {
+      exhausted.remove(service);
+      return true;
+    }
+    refusals.labelValues(service).inc();
+    if (exhausted.add(service)) {
+      logRefusal(service, now);
+    }
+    return false;
+  }
+
+  private void logRefusal(String service, long now) {
+    int divisor = incarnations.get();
+    SharedRetryBudget.Balance balance = of(service).balance(now, divisor);
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("retry.refused")
+            .with("service", service)
+            .with("requests", balance.requests())
+            .with("retries", balance.retries())
+            .with("allowed", "%.1f".formatted(balance.allowed()))
+            .with("incarnations", divisor));
   }
 
   private SharedRetryBudget of(String service) {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -85,13 +85,19 @@
                 Map.of(),
                 false,
                 new CallerLimits(600, 100, 300, 60_000)));
+    RetryBudgets budgets =
+        new RetryBudgets(
+            new RetryLimits(1, 10, 10_000),
+            MonotonicClock.millis(),
+            true,
+            new PrometheusRegistry());
     server =
         new CallerServer(
             new RequestContext(
                 new PlainDialect(),
                 () -> configuration,
                 targets,
-                new RetryBudgets(new RetryLimits(1, 10, 10_000), MonotonicClock.millis(), true),
+                budgets,
                 new ServiceStatistics(),
                 crashes,
                 limits,
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -113,7 +113,12 @@
             PrometheusRegistry.defaultRegistry);
     targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded);
     stop = new GracefulStop(settings);
-    budgets = new RetryBudgets(retryLimits(settings), startedAt, settings.isFirstStart());
+    budgets =
+        new RetryBudgets(
+            retryLimits(settings),
+            startedAt,
+            settings.isFirstStart(),
+            PrometheusRegistry.defaultRegistry);
     store =
         new StoreClient(
             httpClient, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
