--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -124,7 +124,12 @@
     targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded, limits);
     evacuations = new CurrentEvacuations(targets);
     stop = new GracefulStop(settings);
-    budgets = new RetryBudgets(retryLimits(settings), startedAt, settings.isFirstStart());
+    budgets =
+        new RetryBudgets(
+            retryLimits(settings),
+            startedAt,
+            settings.isFirstStart(),
+            PrometheusRegistry.defaultRegistry);
     store =
         new StoreClient(
             httpClient, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
@@ -321,7 +326,7 @@
       remembered.onHeard(stayingHosts, now);
       limits.tickCold(remembered.participants(now), now);
       int entries = mesh.entries(now);
-      budgets.onEntries(entries, now);
+      countEntries(now);
       leads = mesh.leads(now);
       int turn = mesh.position(now);
       boolean collects = mesh.isAmongFirst(LoadRelay.COLLECTORS, now);
@@ -355,6 +360,14 @@
     return isDueBefore ? untilRead : regular;
   }
 
+  /** Tells the retry budgets how many entries there are, once that can be known. */
+  private void countEntries(long now) {
+    if (settings.isFirstStart() || mesh.knowsEntries(now)) {
+      long windowStart = System.currentTimeMillis() - retryLimits(settings).windowMillis();
+      budgets.onEntries(mesh.entries(now), mesh.entriesStartedAfter(windowStart, now), now);
+    }
+  }
+
   private RankPaths paths() {
     return paths;
   }
