Count the cold time of a target from when its record was read

Entries that don't read the store keep the first record of a cold period, as later ones only renew it, and send it to each newly linked entry. That entry counted the remaining time from receipt and limited targets that had been warm for long.

A record now states its age in messages between entries (Record 4, optional; missing means just read), and the remaining time is reduced by it. The message with all targets is reused for at most 100 ms. The first record in which the remaining time is 0 is passed on, which also corrects entries that do not state the age.

A record of 60 s held for 40 s sets an end 20 s ahead; one held for 600 s sets none (StoreTopicsTest).

--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordMessages.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.records;
 
 import com.google.protobuf.ByteString;
+import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.Record;
 import dev.ibishub.wire.generated.RecordProgress;
@@ -29,15 +30,19 @@
 
   private RecordMessages() {}
 
-  /** Returns the message that passes a batch on to other entries, compressed if it is large. */
+  /**
+   * Returns the message that passes a batch on to other entries, compressed if it is large. It
+   * states the current age of the records, so it is not to be kept for long.
+   */
   public static Frame frame(String topic, RecordBatch batch) {
+    long now = MonotonicClock.millis();
     RecordProgress.Builder progress =
         RecordProgress.newBuilder()
             .setTopic(topic)
             .setFrom(batch.from())
             .setEnd(batch.end())
             .setWhole(batch.isSnapshot());
-    batch.records().forEach(record -> progress.addRecords(message(record)));
+    batch.records().forEach(record -> progress.addRecords(message(record, now)));
     return Frame.newBuilder().setRecordProgress(deflatedIfLarge(progress.build())).build();
   }
 
@@ -74,23 +79,29 @@
 
   /** Returns the batch in a message that is {@link #inflated}. */
   public static RecordBatch batch(RecordProgress progress) {
+    long now = MonotonicClock.millis();
     return new RecordBatch(
         progress.getFrom(),
         progress.getEnd(),
         progress.getWhole(),
-        progress.getRecordsList().stream().map(RecordMessages::record).toList());
+        progress.getRecordsList().stream().map(record -> record(record, now)).toList());
   }
 
-  private static Record message(KeyedRecord record) {
+  private static Record message(KeyedRecord record, long now) {
     Record.Builder message = Record.newBuilder().setOffset(record.offset()).setKey(record.key());
     record.value().ifPresent(value -> message.setValue(ByteString.copyFrom(value)));
+    long ageMillis = record.ageMillis(now);
+    if (ageMillis > 0) {
+      message.setAgeMillis(ageMillis);
+    }
     return message.build();
   }
 
-  private static KeyedRecord record(Record message) {
+  private static KeyedRecord record(Record message, long now) {
     return new KeyedRecord(
         message.getOffset(),
         message.getKey(),
-        message.hasValue() ? Optional.of(message.getValue().toByteArray()) : Optional.empty());
+        message.hasValue() ? Optional.of(message.getValue().toByteArray()) : Optional.empty(),
+        now - Math.max(0, message.getAgeMillis()));
   }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordMessagesTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordMessagesTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.protobuf.ByteString;
+import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.RecordProgress;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -42,6 +43,27 @@
     assertThat(RecordMessages.inflated(sent)).isSameAs(sent);
   }
 
+  // Guards against a record that counts as new at an entry that has just started, although the
+  // sender has held it for long.
+  @Test
+  void ageOfRecordsIsPassedOnAndMayBeMissing() {
+    long now = MonotonicClock.millis();
+    KeyedRecord old = new KeyedRecord(7, "t", Optional.empty(), now - 61_000);
+    RecordProgress sent =
+        RecordMessages.frame("topic", new RecordBatch(0, 8, true, List.of(old)))
+            .getRecordProgress();
+    assertThat(ageOnReceipt(sent)).isBetween(61_000L, 121_000L);
+
+    RecordProgress.Builder unstated = sent.toBuilder();
+    unstated.getRecordsBuilder(0).clearAgeMillis();
+    assertThat(ageOnReceipt(unstated.build())).isZero();
+  }
+
+  private static long ageOnReceipt(RecordProgress received) {
+    long now = MonotonicClock.millis();
+    return RecordMessages.batch(received).records().get(0).ageMillis(now);
+  }
+
   @Test
   void rejectsContentThatCannotBeInflated() {
     RecordProgress spoiled =
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -4,7 +4,9 @@
 import com.google.protobuf.ByteString;
 import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.gateway.front.TargetDirectory;
+import dev.ibishub.gateway.model.Target;
 import dev.ibishub.gateway.records.FollowerOptions;
+import dev.ibishub.gateway.records.KeyedLog;
 import dev.ibishub.gateway.records.KeyedRecord;
 import dev.ibishub.gateway.records.PassedTurn;
 import dev.ibishub.gateway.records.RecordBatch;
@@ -56,6 +58,12 @@
   private static final FollowerOptions ENTRIES =
       new FollowerOptions(StoreClient.ENTRIES_TOPIC, () -> ENTRY_TURNS);
 
+  /**
+   * How long a message with all targets is sent again, milliseconds. Its records state their age,
+   * which is too low by at most this time; many entries link within it when all start at once.
+   */
+  private static final long TARGET_SNAPSHOT_MILLIS = 100;
+
   private final CurrentConfiguration configuration;
   private final CurrentEvacuations evacuations;
   private final TargetDirectory targets;
@@ -77,8 +85,15 @@
 
   /**
    * A cached message with a follower's snapshot, valid while the topic's end offset is the same.
+   *
+   * @param validUntil when the ages in it are too low to be sent, on the monotonic clock,
+   *     milliseconds; {@link Long#MAX_VALUE} for a topic whose records have no use for an age
    */
-  private record CachedSnapshot(long end, Frame frame) {}
+  private record CachedSnapshot(long end, Frame frame, long validUntil) {
+    boolean isValid(long currentEnd, long now) {
+      return end == currentEnd && now < validUntil;
+    }
+  }
 
   /**
    * Creates empty copies of all topics.
@@ -87,7 +102,7 @@
    *     time
    */
   StoreTopics(
-      StoreClient store,
+      KeyedLog store,
       CurrentConfiguration configuration,
       CurrentEvacuations evacuations,
       TargetDirectory targets,
@@ -208,6 +223,9 @@
 
   /** Returns the snapshot message, cached because it may be large and some topics change rarely. */
   private Optional<Frame> snapshot(RecordFollower follower) {
+    long now = MonotonicClock.millis();
+    long validUntil =
+        follower.equals(targetFollower) ? now + TARGET_SNAPSHOT_MILLIS : Long.MAX_VALUE;
     return follower
         .snapshot()
         .map(
@@ -215,9 +233,10 @@
                 snapshots.compute(
                     follower.topic(),
                     (topic, cached) ->
-                        cached != null && cached.end() == batch.end()
+                        cached != null && cached.isValid(batch.end(), now)
                             ? cached
-                            : new CachedSnapshot(batch.end(), RecordMessages.frame(topic, batch))))
+                            : new CachedSnapshot(
+                                batch.end(), RecordMessages.frame(topic, batch), validUntil)))
         .map(CachedSnapshot::frame);
   }
 
@@ -241,8 +260,7 @@
       return;
     }
     try {
-      targets.onAnnounced(
-          TargetAnnouncementDecoder.decode(change.record()), change.record().offset());
+      targets.onAnnounced(announcedTarget(change.record()), change.record().offset());
     } catch (IOException | IllegalArgumentException e) {
       logger.atWarning().log(
           "%s",
@@ -253,15 +271,33 @@
     }
   }
 
+  /** Returns the target with the time for which it is cold from now. */
+  private static Target announcedTarget(KeyedRecord record) throws IOException {
+    Target target = TargetAnnouncementDecoder.decode(record);
+    long ageMillis = record.ageMillis(MonotonicClock.millis());
+    return target.withColdRemainingMillis(Math.max(0, target.coldRemainingMillis() - ageMillis));
+  }
+
   private boolean isRenewal(KeyedRecord earlier, KeyedRecord later) {
     try {
       return TargetAnnouncementDecoder.isRenewal(earlier, later)
-          && !targets.extendsColdPeriod(TargetAnnouncementDecoder.decode(later));
+          && !isColdNews(
+              TargetAnnouncementDecoder.decode(earlier), TargetAnnouncementDecoder.decode(later));
     } catch (IOException | IllegalArgumentException e) {
       return false;
     }
   }
 
+  /**
+   * Whether a record that only renews another one matters for the limit of a cold target. The first
+   * record of a target that is warm again replaces the cold one that the other entries hold and
+   * pass on to entries that have just started.
+   */
+  private boolean isColdNews(Target earlier, Target later) {
+    boolean isWarmAgain = earlier.coldRemainingMillis() > 0 && later.coldRemainingMillis() == 0;
+    return isWarmAgain || targets.extendsColdPeriod(later);
+  }
+
   private void onEntryRecord(RecordChange change) {
     change
         .record()
--- /dev/null
+++ b/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
@@ -0,0 +1,133 @@
+package dev.ibishub.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.entries.ReadTurns;
+import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.gateway.front.TargetDirectory;
+import dev.ibishub.gateway.records.KeyedLog;
+import dev.ibishub.gateway.records.KeyedRecord;
+import dev.ibishub.gateway.records.RecordBatch;
+import dev.ibishub.gateway.records.RecordMessages;
+import dev.ibishub.platform.StoreClient;
+import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.generated.Frame;
+import dev.ibishub.wire.generated.Record;
+import dev.ibishub.wire.generated.RecordProgress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+/** Tests which records of targets the entries pass on to each other, and with which age. */
+final class StoreTopicsTest {
+  private final List<KeyedRecord> written = new ArrayList<>();
+  private final List<Frame> broadcasts = new ArrayList<>();
+  private final Member reader = new Member(new WrittenRecords());
+  private long time = MonotonicClock.millis();
+
+  /** A store with the records written so far. */
+  private final class WrittenRecords implements KeyedLog {
+    @Override
+    public CompletableFuture<RecordBatch> newest(String topic) {
+      return read(topic, 0, 0)
+          .thenApply(batch -> new RecordBatch(0, batch.end(), true, batch.records()));
+    }
+
+    @Override
+    public CompletableFuture<RecordBatch> read(String topic, long from, long waitMillis) {
+      List<KeyedRecord> records =
+          topic.equals(StoreClient.TARGETS_TOPIC)
+              ? written.subList((int) from, written.size())
+              : List.of();
+      return CompletableFuture.completedFuture(
+          new RecordBatch(from, from + records.size(), false, records));
+    }
+
+    @Override
+    public CompletableFuture<Void> append(String topic, String key, byte[] value) {
+      return CompletableFuture.completedFuture(null);
+    }
+  }
+
+  /** An entry's copies of the topics. */
+  private final class Member {
+    private final TargetDirectory targets = new TargetDirectory("zone-a");
+    private final StoreTopics topics;
+
+    Member(KeyedLog store) {
+      topics =
+          new StoreTopics(
+              store,
+              new CurrentConfiguration(),
+              new CurrentEvacuations(targets),
+              targets,
+              () -> ReadTurns.fixed(500, 250, 0),
+              new StoreTopics.Listener(broadcasts::add, host -> {}, turn -> false));
+    }
+
+    TargetLoad load() {
+      return targets.all().get(0).load();
+    }
+  }
+
+  private static Optional<byte[]> announcement(long coldRemainingMillis) {
+    String json =
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+            + "\"state\":\"ready\",\"cold_remaining_ms\":%d}".formatted(coldRemainingMillis);
+    return Optional.of(json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static Frame snapshotOf(long coldRemainingMillis, long ageMillis) {
+    KeyedRecord record =
+        new KeyedRecord(
+            0, "t", announcement(coldRemainingMillis), MonotonicClock.millis() - ageMillis);
+    return RecordMessages.frame(
+        StoreClient.TARGETS_TOPIC, new RecordBatch(0, 1, true, List.of(record)));
+  }
+
+  // Guards against a fresh entry that limits a warm target, or one that soon is. It gets the first
+  // record of the cold period, which entries that don't read the store hold until it changes.
+  @Test
+  void recordHeldByOtherEntriesEndsColdPeriodWhenItIsOver() {
+    Member holder = new Member(new WrittenRecords());
+    holder.topics.onProgress(snapshotOf(60_000, 40_000).getRecordProgress());
+    Member fresh = new Member(new WrittenRecords());
+    holder.topics.snapshots().forEach(frame -> fresh.topics.onProgress(frame.getRecordProgress()));
+    long now = MonotonicClock.millis();
+    assertThat(fresh.load().isCold(now + 10_000)).isTrue();
+    assertThat(fresh.load().isCold(now + 21_000)).isFalse();
+
+    Member later = new Member(new WrittenRecords());
+    later.topics.onProgress(snapshotOf(60_000, 600_000).getRecordProgress());
+    assertThat(later.load().isCold(now)).isFalse();
+  }
+
+  private List<Long> offsetsPassedOn(long coldRemainingMillis) {
+    written.add(new KeyedRecord(written.size(), "t", announcement(coldRemainingMillis)));
+    broadcasts.clear();
+    time += 1_000;
+    reader.topics.tick(time, 0, 3);
+    return broadcasts.stream()
+        .map(Frame::getRecordProgress)
+        .filter(progress -> progress.getTopic().equals(StoreClient.TARGETS_TOPIC))
+        .map(RecordProgress::getRecordsList)
+        .flatMap(List::stream)
+        .map(Record::getOffset)
+        .toList();
+  }
+
+  // Guards against entries that hold the first record of a cold period for as long as the target
+  // runs, and against records that are passed on every second.
+  @Test
+  void readerPassesOnBeginAndEndOfColdPeriodOnly() {
+    assertThat(offsetsPassedOn(0)).containsExactly(0L);
+    assertThat(offsetsPassedOn(60_000)).containsExactly(1L);
+    assertThat(offsetsPassedOn(59_000)).isEmpty();
+    assertThat(offsetsPassedOn(58_000)).isEmpty();
+    assertThat(offsetsPassedOn(0)).containsExactly(4L);
+    assertThat(offsetsPassedOn(0)).isEmpty();
+  }
+}
