Read from responses that a target is cold

The directory takes in the remaining time that a response states, but nothing called it, so a target that turned cold got the usual requests until its record was read.

The attempt now passes it on together with the leaving state. FrontTest covers a target of which only the response says that it is cold; the test failed before.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -432,6 +432,8 @@
       if (head.isLeaving()) {
         context.targets().onLeavingResponse(target);
       }
+      head.coldRemainingMillis()
+          .ifPresent(millis -> context.targets().onColdResponse(target, millis));
       context
           .targetLimits()
           .onResponse(target.target().incarnation(), head.requestsPerSecond(), sentAt);
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -8,6 +8,7 @@
 import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
@@ -296,6 +297,18 @@
         .endsWith("bad");
   }
 
+  // Guards against a target that is used as a warm one until its record says that it turned cold,
+  // although its response has said so before.
+  @Test
+  void targetIsColdOnceItsResponseSaysSo() throws IOException {
+    TargetLoad load = targets.usable("s").get(0).load();
+    relayed("HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood");
+    assertThat(load.isCold(MonotonicClock.millis())).isFalse();
+
+    relayed("HTTP/1.1 200 OK\r\nsigned: 1\r\ncold: 60000\r\nContent-Length: 4\r\n\r\ngood");
+    assertThat(load.isCold(MonotonicClock.millis())).isTrue();
+  }
+
   private static void event(Socket accepted, int id) throws IOException {
     String bytes = "id: " + id + "\ndata: x\n\n";
     String chunk = Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n";
--- a/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
@@ -39,6 +39,6 @@
             .findFirst(),
         Stream.ofNullable(response.headers().get("rest")).mapToLong(Long::parseLong).findFirst(),
         response.headers().contains("leaving"),
-        OptionalLong.empty());
+        Stream.ofNullable(response.headers().get("cold")).mapToLong(Long::parseLong).findFirst());
   }
 }
