Compare cold records with what records stated before

A record counted as news if it extended the known cold period. Once responses state the period, too, the reader already knows it from its own response and withholds the record from all other entries.

The directory now keeps the ends that records stated apart, by incarnation, until they have passed. TargetDirectoryTest asserted that a response makes the record no news, which is the fault; it now asserts the opposite, and that a further record is none. It failed before.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -107,6 +107,13 @@
     }
   }
 
+  /**
+   * The ends of the cold periods by incarnation, on the monotonic clock, milliseconds, as far as
+   * records stated them. Other entries know them from the same records, but not what responses
+   * stated.
+   */
+  private final Map<String, Long> recordedColdEnds = new HashMap<>();
+
   private record RetainedLoad(TargetLoad load, long at) {}
 
   /**
@@ -161,6 +168,9 @@
     }
     TargetLoad load = isNewIncarnation ? takeRetainedLoad(target.incarnation()) : before.load();
     long now = MonotonicClock.millis();
+    if (extendsColdPeriod(target)) {
+      recordedColdEnds.put(target.incarnation(), coldEnd(target, now));
+    }
     if (isColdLonger(target, load, now)) {
       onCold(target, load, before != null && !before.load().isCold(now), now);
     }
@@ -199,20 +209,23 @@
   }
 
   private void onCold(Target target, TargetLoad load, boolean wasInUse, long now) {
-    long until = now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+    long until = coldEnd(target, now);
     load.onCold(until);
     coldListener.onCold(target, wasInUse, until, now);
   }
 
+  private static long coldEnd(Target target, long now) {
+    return now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+  }
+
   /**
-   * Whether a record extends the cold period of its target as far as known, so that it is news for
-   * the other entries even if it only renews an earlier record.
+   * Whether a record extends the cold period of its target as far as records stated it, so that it
+   * is news for the other entries even if it only renews an earlier record.
    */
   public synchronized boolean extendsColdPeriod(Target target) {
-    ListedTarget before = known.get(target.id());
-    return before == null
-        ? target.coldRemainingMillis() > 0
-        : isColdLonger(target, before.load(), MonotonicClock.millis());
+    long end = MonotonicClock.millis() + target.coldRemainingMillis();
+    return target.coldRemainingMillis() > 0
+        && end >= recordedColdEnds.getOrDefault(target.incarnation(), Long.MIN_VALUE);
   }
 
   private static boolean isColdLonger(Target target, TargetLoad load, long now) {
@@ -280,6 +293,7 @@
     retainedLoadsByIncarnation
         .values()
         .removeIf(retained -> now - retained.at() > LOAD_RETENTION_MILLIS);
+    recordedColdEnds.values().removeIf(end -> end <= now);
     List<ListedTarget> expired =
         known.values().stream().filter(each -> each.usedUntil() <= now).toList();
     if (!expired.isEmpty()) {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -297,7 +297,20 @@
     watched.onColdResponse(watched.usable("pages").get(0), 60_000);
     watched.onColdResponse(watched.usable("pages").get(0), 59_000);
     assertThat(coldStatements).containsExactly("t1@1 was in use");
-    assertThat(watched.extendsColdPeriod(target(false, 1).withColdRemainingMillis(59_000)))
-        .isFalse();
+  }
+
+  // Guards against a record that the reader withholds from all other entries because a response,
+  // which only the reader got, said the same before.
+  @Test
+  void recordIsNewsAlthoughResponseStatedTheColdPeriod() {
+    TargetDirectory watched = directoryOfColdTargets();
+    Target announced = target(false, 1);
+    watched.onAnnounced(announced, 1);
+    watched.onColdResponse(watched.usable("pages").get(0), 60_000);
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(59_000))).isTrue();
+
+    watched.onAnnounced(announced.withColdRemainingMillis(59_000), 2);
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(58_000))).isFalse();
+    assertThat(coldStatements).containsExactly("t1@1 was in use");
   }
 }
