Leave services without a cold limit as they were

Records and responses made targets of every service count as cold, so warm targets were preferred, and further records passed on, also where the service has no cold_per_s.

The end of the cold period is still stored, but a load counts as cold, and a record as news of it, only while a limit is in force for the service. As this is looked up when it matters, a limit that comes into force later, or a configuration read after the targets, applies at once.

TargetDirectoryTest covers a service before and after its limit comes into force.

--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * This entry's view of one target: its estimated load, its recent failures, and whether it accepts
@@ -69,6 +70,7 @@
   private long backOffUntil = Long.MIN_VALUE;
   private boolean saysLeaving;
   private long coldUntil = Long.MIN_VALUE;
+  private BooleanSupplier hasColdLimit = () -> true;
 
   /**
    * Written and read without the lock: a check of these loads while this one is locked could
@@ -161,8 +163,26 @@
     coldUntil = Math.max(coldUntil, until);
   }
 
-  /** Whether the target is cold, so that a warm one is preferred to it. */
+  /**
+   * Sets whether the target's service limits the requests to cold targets; it does so unless set
+   * otherwise. The limit may come into force while the target is cold.
+   *
+   * @param isInForce returns whether the limit is in force; called under this object's lock
+   */
+  public synchronized void onColdLimit(BooleanSupplier isInForce) {
+    hasColdLimit = isInForce;
+  }
+
+  /**
+   * Whether the target is cold and its service limits the requests to cold targets, so that a warm
+   * one is preferred to it.
+   */
   public synchronized boolean isCold(long now) {
+    return isInColdPeriod(now) && hasColdLimit.getAsBoolean();
+  }
+
+  /** Whether the target is cold, whether or not its service has a limit for that. */
+  public synchronized boolean isInColdPeriod(long now) {
     return now < coldUntil;
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
@@ -14,4 +14,12 @@
    * @param now the current time, milliseconds
    */
   void onCold(Target target, boolean wasInUse, long until, long now);
+
+  /**
+   * Whether a limit for cold targets of a service is in force; without one they are used as warm
+   * targets are. May change at any time.
+   */
+  default boolean hasLimit(String service) {
+    return true;
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -172,7 +172,7 @@
       recordedColdEnds.put(target.incarnation(), coldEnd(target, now));
     }
     if (isColdLonger(target, load, now)) {
-      onCold(target, load, before != null && !before.load().isCold(now), now);
+      onCold(target, load, before != null && !before.load().isInColdPeriod(now), now);
     }
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
@@ -204,12 +204,13 @@
     long now = MonotonicClock.millis();
     Target stated = cold.target().withColdRemainingMillis(remainingMillis);
     if (isColdLonger(stated, cold.load(), now)) {
-      onCold(stated, cold.load(), !cold.load().isCold(now), now);
+      onCold(stated, cold.load(), !cold.load().isInColdPeriod(now), now);
     }
   }
 
   private void onCold(Target target, TargetLoad load, boolean wasInUse, long now) {
     long until = coldEnd(target, now);
+    load.onColdLimit(() -> coldListener.hasLimit(target.service()));
     load.onCold(until);
     coldListener.onCold(target, wasInUse, until, now);
   }
@@ -220,16 +221,30 @@
 
   /**
    * Whether a record extends the cold period of its target as far as records stated it, so that it
-   * is news for the other entries even if it only renews an earlier record.
+   * is news for the other entries even if it only renews an earlier record. Never true while the
+   * service has no limit for cold targets.
    */
   public synchronized boolean extendsColdPeriod(Target target) {
     long end = MonotonicClock.millis() + target.coldRemainingMillis();
     return target.coldRemainingMillis() > 0
-        && end >= recordedColdEnds.getOrDefault(target.incarnation(), Long.MIN_VALUE);
+        && end >= recordedColdEnds.getOrDefault(target.incarnation(), Long.MIN_VALUE)
+        && coldListener.hasLimit(target.service());
+  }
+
+  /**
+   * Whether a record states that a target is warm again. It replaces the cold record that other
+   * entries hold and pass on to entries that have just started. Never true while the service has no
+   * limit for cold targets.
+   */
+  public boolean endsColdPeriod(Target earlier, Target later) {
+    return earlier.coldRemainingMillis() > 0
+        && later.coldRemainingMillis() == 0
+        && coldListener.hasLimit(later.service());
   }
 
   private static boolean isColdLonger(Target target, TargetLoad load, long now) {
-    return target.coldRemainingMillis() > 0 && !load.isCold(now + target.coldRemainingMillis());
+    return target.coldRemainingMillis() > 0
+        && !load.isInColdPeriod(now + target.coldRemainingMillis());
   }
 
   private TargetLoad takeRetainedLoad(String incarnation) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
@@ -105,6 +105,11 @@
     }
   }
 
+  @Override
+  public boolean hasLimit(String service) {
+    return coldLimits.apply(service).isPresent();
+  }
+
   private double coldRate(String service) {
     return coldLimits.apply(service).map(ColdLimit::dividedRequestsPerSecond).orElse(0.0);
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -2,15 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.EvacuatedZones;
+import dev.ibishub.core.serving.LimitDivision;
+import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.MonotonicClock;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 final class TargetDirectoryTest {
@@ -313,4 +318,32 @@
     assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(58_000))).isFalse();
     assertThat(coldStatements).containsExactly("t1@1 was in use");
   }
+
+  // Guards against a service without a limit for cold targets whose requests all go to the warm
+  // ones, and against a limit that comes into force while a target is cold and misses it.
+  @Test
+  void coldPeriodMattersOnlyWhileServiceHasALimit() {
+    PrometheusRegistry registry = new PrometheusRegistry();
+    AtomicReference<Optional<ColdLimit>> limit = new AtomicReference<>(Optional.empty());
+    TargetDirectory limited =
+        new TargetDirectory(
+            "zone-a",
+            incarnation -> {},
+            new TargetLimits(
+                new SharedLimits("own", LimitDivision.amongFewHolders()),
+                frame -> {},
+                service -> limit.get(),
+                registry));
+    Target cold = target(false, 1).withColdRemainingMillis(60_000);
+    limited.onAnnounced(cold, 1);
+    TargetLoad load = limited.usable("pages").get(0).load();
+    assertThat(load.isCold(MonotonicClock.millis())).isFalse();
+    assertThat(limited.extendsColdPeriod(cold)).isFalse();
+    assertThat(limited.endsColdPeriod(cold, target(false, 1))).isFalse();
+
+    limit.set(Optional.of(new ColdLimit(14, 1.5, 5)));
+    assertThat(load.isCold(MonotonicClock.millis())).isTrue();
+    assertThat(limited.extendsColdPeriod(cold)).isTrue();
+    assertThat(limited.endsColdPeriod(cold, target(false, 1))).isTrue();
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -288,14 +288,8 @@
     }
   }
 
-  /**
-   * Whether a record that only renews another one matters for the limit of a cold target. The first
-   * record of a target that is warm again replaces the cold one that the other entries hold and
-   * pass on to entries that have just started.
-   */
   private boolean isColdNews(Target earlier, Target later) {
-    boolean isWarmAgain = earlier.coldRemainingMillis() > 0 && later.coldRemainingMillis() == 0;
-    return isWarmAgain || targets.extendsColdPeriod(later);
+    return targets.endsColdPeriod(earlier, later) || targets.extendsColdPeriod(later);
   }
 
   private void onEntryRecord(RecordChange change) {
