Carry the closure of a cold target over to its successor

A target that turned cold while in use gets nothing for 2 s, as other entries may still send it the usual requests. A cold successor at its address missed this if the record of the old incarnation was dropped in between, if it had another id, or if the old incarnation had itself just turned cold in use.

The directory now stores, by address, until when others may send the usual requests: 2 s after a warm target there was last known. A successor does not prolong it. Two tests in TargetDirectoryTest failed before.

--- a/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
@@ -48,7 +48,7 @@
    * Time for which nothing is sent to a target that was in use and turned cold, milliseconds. Some
    * entries learn of it up to 2 s later than others and send the usual requests until then.
    */
-  static final long NEWS_MILLIS = 2_000;
+  public static final long NEWS_MILLIS = 2_000;
 
   private static final LimitDivision COLD_DIVISION = LimitDivision.inWholeRequests();
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
@@ -9,7 +9,8 @@
    * Called with each statement.
    *
    * @param target the target that is cold
-   * @param wasInUse whether it was known before and not cold, also in an earlier incarnation
+   * @param wasInUse whether other entries may still send it the usual requests, as it or another
+   *     incarnation at its address was known and not cold a short time before
    * @param until when it stops being cold, on the monotonic clock, milliseconds
    * @param now the current time, milliseconds
    */
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.serving.EvacuatedZones;
 import dev.ibishub.core.serving.GroupOpenness;
+import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
@@ -114,6 +115,13 @@
    */
   private final Map<String, Long> recordedColdEnds = new HashMap<>();
 
+  /**
+   * Until when other entries may send as many requests to an address as to a warm target, on the
+   * monotonic clock, milliseconds: they learn up to this late that the target there turned cold or
+   * is gone.
+   */
+  private final Map<InetSocketAddress, Long> usualRequestsUntil = new HashMap<>();
+
   private record RetainedLoad(TargetLoad load, long at) {}
 
   /**
@@ -172,7 +180,7 @@
       recordedColdEnds.put(target.incarnation(), coldEnd(target, now));
     }
     if (isColdLonger(target, load, now)) {
-      onCold(target, load, before != null && !before.load().isInColdPeriod(now), now);
+      onCold(target, load, wasInUse(target, now), now);
     }
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
@@ -204,7 +212,7 @@
     long now = MonotonicClock.millis();
     Target stated = cold.target().withColdRemainingMillis(remainingMillis);
     if (isColdLonger(stated, cold.load(), now)) {
-      onCold(stated, cold.load(), !cold.load().isInColdPeriod(now), now);
+      onCold(stated, cold.load(), wasInUse(stated, now), now);
     }
   }
 
@@ -215,6 +223,23 @@
     coldListener.onCold(target, wasInUse, until, now);
   }
 
+  /**
+   * Whether other entries may still send the usual requests to a target that turned cold: it, or
+   * another incarnation at its address, was not cold until now or a short time ago.
+   */
+  private boolean wasInUse(Target target, long now) {
+    InetSocketAddress address = new InetSocketAddress(target.host(), target.port());
+    boolean isKnownAsWarm =
+        known.values().stream()
+            .filter(
+                each -> each.target().id().equals(target.id()) || each.address().equals(address))
+            .anyMatch(each -> !each.load().isInColdPeriod(now));
+    if (isKnownAsWarm) {
+      usualRequestsUntil.put(address, now + SharedLimits.NEWS_MILLIS);
+    }
+    return now < usualRequestsUntil.getOrDefault(address, Long.MIN_VALUE);
+  }
+
   private static long coldEnd(Target target, long now) {
     return now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
   }
@@ -309,6 +334,7 @@
         .values()
         .removeIf(retained -> now - retained.at() > LOAD_RETENTION_MILLIS);
     recordedColdEnds.values().removeIf(end -> end <= now);
+    usualRequestsUntil.values().removeIf(until -> until <= now);
     List<ListedTarget> expired =
         known.values().stream().filter(each -> each.usedUntil() <= now).toList();
     if (!expired.isEmpty()) {
@@ -319,6 +345,9 @@
 
   private void drop(ListedTarget gone, long now) {
     known.remove(gone.target().id());
+    if (!gone.load().isInColdPeriod(now)) {
+      usualRequestsUntil.put(gone.address(), now + SharedLimits.NEWS_MILLIS);
+    }
     retainedLoadsByIncarnation.put(gone.target().incarnation(), new RetainedLoad(gone.load(), now));
   }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -319,6 +319,33 @@
     assertThat(coldStatements).containsExactly("t1@1 was in use");
   }
 
+  // Guards against requests to a cold target from entries that still know its predecessor at the
+  // address as warm, because the record of the predecessor was dropped in between.
+  @Test
+  void coldSuccessorOfDroppedTargetWasInUse() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(at("t1", 80, 1), 1);
+    watched.onAnnounced(at("t2", 81, 1), 2);
+    watched.onDropped("t1", 0, MonotonicClock.millis());
+    watched.onAnnounced(at("t1", 80, 2).withColdRemainingMillis(60_000), 4);
+    watched.onAnnounced(at("t3", 81, 2).withColdRemainingMillis(60_000), 5);
+    watched.onAnnounced(at("t4", 82, 2).withColdRemainingMillis(60_000), 6);
+    assertThat(coldStatements).containsExactly("t1@2 was in use", "t3@2 was in use", "t4@2");
+  }
+
+  // Guards against requests to a cold target that restarted soon after it turned cold in use. Other
+  // entries may not even have learned of the first cold period.
+  @Test
+  void coldSuccessorTakesOverThatItsPredecessorWasInUse() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(at("t1", 80, 1), 1);
+    watched.onAnnounced(at("t1", 80, 1).withColdRemainingMillis(60_000), 2);
+    watched.onAnnounced(at("t1", 80, 2).withColdRemainingMillis(60_000), 3);
+    watched.tick(MonotonicClock.millis() + SharedLimits.NEWS_MILLIS);
+    watched.onAnnounced(at("t1", 80, 3).withColdRemainingMillis(60_000), 4);
+    assertThat(coldStatements).containsExactly("t1@1 was in use", "t1@2 was in use", "t1@3");
+  }
+
   // Guards against a service without a limit for cold targets whose requests all go to the warm
   // ones, and against a limit that comes into force while a target is cold and misses it.
   @Test
