--- a/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
@@ -164,6 +164,11 @@
     return true;
   }
 
+  /** Ends the limit of a cold target, whose process is over. */
+  public synchronized void onColdEnded(String targetIncarnation) {
+    coldByIncarnation.remove(targetIncarnation);
+  }
+
   /**
    * Updates which entries share the limits of cold targets, and evicts targets that are no longer
    * cold. To be called regularly.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ColdListener.java
@@ -16,6 +16,13 @@
    */
   void onCold(Target target, boolean wasInUse, long until, long now);
 
+  /**
+   * Called when an incarnation of a target is over, so that nothing needs to be stored for it.
+   *
+   * @param incarnation see {@link Target#incarnation}
+   */
+  default void onEnded(String incarnation) {}
+
   /**
    * Whether a limit for cold targets of a service is in force; without one they are used as warm
    * targets are. May change at any time.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -174,6 +174,9 @@
     if (!isNewIncarnation && target.startedAtMillis() < before.target().startedAtMillis()) {
       return;
     }
+    if (isNewIncarnation && before != null) {
+      endColdPeriod(before.target().incarnation());
+    }
     TargetLoad load = isNewIncarnation ? takeRetainedLoad(target.incarnation()) : before.load();
     long now = MonotonicClock.millis();
     if (extendsColdPeriod(target)) {
@@ -240,6 +243,11 @@
     return now < usualRequestsUntil.getOrDefault(address, Long.MIN_VALUE);
   }
 
+  private void endColdPeriod(String incarnation) {
+    recordedColdEnds.remove(incarnation);
+    coldListener.onEnded(incarnation);
+  }
+
   private static long coldEnd(Target target, long now) {
     return now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
   }
@@ -330,9 +338,13 @@
 
   /** Drops targets whose grace period has ended, and loads that were retained long enough. */
   public synchronized void tick(long now) {
-    retainedLoadsByIncarnation
-        .values()
-        .removeIf(retained -> now - retained.at() > LOAD_RETENTION_MILLIS);
+    List<String> ended =
+        retainedLoadsByIncarnation.entrySet().stream()
+            .filter(retained -> now - retained.getValue().at() > LOAD_RETENTION_MILLIS)
+            .map(Map.Entry::getKey)
+            .toList();
+    ended.forEach(retainedLoadsByIncarnation::remove);
+    ended.forEach(this::endColdPeriod);
     recordedColdEnds.values().removeIf(end -> end <= now);
     usualRequestsUntil.values().removeIf(until -> until <= now);
     List<ListedTarget> expired =
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
@@ -105,6 +105,12 @@
     }
   }
 
+  @Override
+  public void onEnded(String incarnation) {
+    limits.onColdEnded(incarnation);
+    coldServices.remove(incarnation);
+  }
+
   @Override
   public boolean hasLimit(String service) {
     return coldLimits.apply(service).isPresent();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -346,6 +346,38 @@
     assertThat(coldStatements).containsExactly("t1@1 was in use", "t1@2 was in use", "t1@3");
   }
 
+  // Guards against state that is kept for each restart of a target, for as long as its earlier
+  // incarnation said that it would be cold, and against a limit that is lost with a record although
+  // the target lives on.
+  @Test
+  void coldStateEndsWithItsIncarnation() {
+    List<String> ended = new ArrayList<>();
+    TargetDirectory watched =
+        new TargetDirectory(
+            "zone-a",
+            incarnation -> {},
+            new ColdListener() {
+              @Override
+              public void onCold(Target target, boolean wasInUse, long until, long now) {}
+
+              @Override
+              public void onEnded(String incarnation) {
+                ended.add(incarnation);
+              }
+            });
+    watched.onAnnounced(target(false, 1).withColdRemainingMillis(60_000), 1);
+    watched.onAnnounced(target(false, 1).withColdRemainingMillis(59_000), 2);
+    assertThat(ended).isEmpty();
+    watched.onAnnounced(target(false, 2).withColdRemainingMillis(60_000), 3);
+    assertThat(ended).containsExactly("t1@1");
+
+    watched.onDropped("t1", 0, 1_000);
+    watched.tick(1_000 + TargetDirectory.LOAD_RETENTION_MILLIS);
+    assertThat(ended).hasSize(1);
+    watched.tick(1_001 + TargetDirectory.LOAD_RETENTION_MILLIS);
+    assertThat(ended).containsExactly("t1@1", "t1@2");
+  }
+
   // Guards against a service without a limit for cold targets whose requests all go to the warm
   // ones, and against a limit that comes into force while a target is cold and misses it.
   @Test
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetLimitsTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetLimitsTest.java
@@ -51,4 +51,15 @@
     limits.tickCold(Set.of("own"), 1_000);
     assertThat(limits.allows(PAGES.incarnation(), 1_000)).isTrue();
   }
+
+  // Guards against state of incarnations that ended, which is kept until they would be warm.
+  @Test
+  void limitEndsWithItsIncarnation() {
+    limits.tickCold(Set.of("own"), 0);
+    limits.onCold(PAGES, false, 60_000, 0);
+    assertThat(limits.allows(PAGES.incarnation(), 10)).isFalse();
+
+    limits.onEnded(PAGES.incarnation());
+    assertThat(limits.allows(PAGES.incarnation(), 10)).isTrue();
+  }
 }
