--- a/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
@@ -48,7 +48,7 @@
    * Time for which nothing is sent to a target that was in use and turned cold, milliseconds. Some
    * entries learn of it up to 2 s later than others and send the usual requests until then.
    */
-  static final long NEWS_MILLIS = 2_000;
+  public static final long NEWS_MILLIS = 2_000;
 
   private static final LimitDivision COLD_DIVISION = LimitDivision.inWholeRequests();
 
@@ -164,6 +164,11 @@
     return true;
   }
 
+  /** Ends the limit of a cold target, whose process is over. */
+  public synchronized void onColdEnded(String targetIncarnation) {
+    coldByIncarnation.remove(targetIncarnation);
+  }
+
   /**
    * Updates which entries share the limits of cold targets, and evicts targets that are no longer
    * cold. To be called regularly.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.serving.EvacuatedZones;
 import dev.ibishub.core.serving.GroupOpenness;
+import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
@@ -107,6 +108,20 @@
     }
   }
 
+  /**
+   * The ends of the cold periods by incarnation, on the monotonic clock, milliseconds, as far as
+   * records stated them. Other entries know them from the same records, but not what responses
+   * stated.
+   */
+  private final Map<String, Long> recordedColdEnds = new HashMap<>();
+
+  /**
+   * Until when other entries may send as many requests to an address as to a warm target, on the
+   * monotonic clock, milliseconds: they learn up to this late that the target there turned cold or
+   * is gone.
+   */
+  private final Map<InetSocketAddress, Long> usualRequestsUntil = new HashMap<>();
+
   private record RetainedLoad(TargetLoad load, long at) {}
 
   /**
@@ -159,10 +174,16 @@
     if (!isNewIncarnation && target.startedAtMillis() < before.target().startedAtMillis()) {
       return;
     }
+    if (isNewIncarnation && before != null) {
+      endColdPeriod(before.target().incarnation());
+    }
     TargetLoad load = isNewIncarnation ? takeRetainedLoad(target.incarnation()) : before.load();
     long now = MonotonicClock.millis();
+    if (extendsColdPeriod(target)) {
+      recordedColdEnds.put(target.incarnation(), coldEnd(target, now));
+    }
     if (isColdLonger(target, load, now)) {
-      onCold(target, load, before != null && !before.load().isCold(now), now);
+      onCold(target, load, wasInUse(target, now), now);
     }
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
@@ -194,29 +215,69 @@
     long now = MonotonicClock.millis();
     Target stated = cold.target().withColdRemainingMillis(remainingMillis);
     if (isColdLonger(stated, cold.load(), now)) {
-      onCold(stated, cold.load(), !cold.load().isCold(now), now);
+      onCold(stated, cold.load(), wasInUse(stated, now), now);
     }
   }
 
   private void onCold(Target target, TargetLoad load, boolean wasInUse, long now) {
-    long until = now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+    long until = coldEnd(target, now);
+    load.onColdLimit(() -> coldListener.hasLimit(target.service()));
     load.onCold(until);
     coldListener.onCold(target, wasInUse, until, now);
   }
 
   /**
-   * Whether a record extends the cold period of its target as far as known, so that it is news for
-   * the other entries even if it only renews an earlier record.
+   * Whether other entries may still send the usual requests to a target that turned cold: it, or
+   * another incarnation at its address, was not cold until now or a short time ago.
+   */
+  private boolean wasInUse(Target target, long now) {
+    InetSocketAddress address = new InetSocketAddress(target.host(), target.port());
+    boolean isKnownAsWarm =
+        known.values().stream()
+            .filter(
+                each -> each.target().id().equals(target.id()) || each.address().equals(address))
+            .anyMatch(each -> !each.load().isInColdPeriod(now));
+    if (isKnownAsWarm) {
+      usualRequestsUntil.put(address, now + SharedLimits.NEWS_MILLIS);
+    }
+    return now < usualRequestsUntil.getOrDefault(address, Long.MIN_VALUE);
+  }
+
+  private void endColdPeriod(String incarnation) {
+    recordedColdEnds.remove(incarnation);
+    coldListener.onEnded(incarnation);
+  }
+
+  private static long coldEnd(Target target, long now) {
+    return now + target.coldRemainingMillis() + COLD_MARGIN_MILLIS;
+  }
+
+  /**
+   * Whether a record extends the cold period of its target as far as records stated it, so that it
+   * is news for the other entries even if it only renews an earlier record. Never true while the
+   * service has no limit for cold targets.
    */
   public synchronized boolean extendsColdPeriod(Target target) {
-    ListedTarget before = known.get(target.id());
-    return before == null
-        ? target.coldRemainingMillis() > 0
-        : isColdLonger(target, before.load(), MonotonicClock.millis());
+    long end = MonotonicClock.millis() + target.coldRemainingMillis();
+    return target.coldRemainingMillis() > 0
+        && end >= recordedColdEnds.getOrDefault(target.incarnation(), Long.MIN_VALUE)
+        && coldListener.hasLimit(target.service());
+  }
+
+  /**
+   * Whether a record states that a target is warm again. It replaces the cold record that other
+   * entries hold and pass on to entries that have just started. Never true while the service has no
+   * limit for cold targets.
+   */
+  public boolean endsColdPeriod(Target earlier, Target later) {
+    return earlier.coldRemainingMillis() > 0
+        && later.coldRemainingMillis() == 0
+        && coldListener.hasLimit(later.service());
   }
 
   private static boolean isColdLonger(Target target, TargetLoad load, long now) {
-    return target.coldRemainingMillis() > 0 && !load.isCold(now + target.coldRemainingMillis());
+    return target.coldRemainingMillis() > 0
+        && !load.isInColdPeriod(now + target.coldRemainingMillis());
   }
 
   private TargetLoad takeRetainedLoad(String incarnation) {
@@ -277,9 +338,15 @@
 
   /** Drops targets whose grace period has ended, and loads that were retained long enough. */
   public synchronized void tick(long now) {
-    retainedLoadsByIncarnation
-        .values()
-        .removeIf(retained -> now - retained.at() > LOAD_RETENTION_MILLIS);
+    List<String> ended =
+        retainedLoadsByIncarnation.entrySet().stream()
+            .filter(retained -> now - retained.getValue().at() > LOAD_RETENTION_MILLIS)
+            .map(Map.Entry::getKey)
+            .toList();
+    ended.forEach(retainedLoadsByIncarnation::remove);
+    ended.forEach(this::endColdPeriod);
+    recordedColdEnds.values().removeIf(end -> end <= now);
+    usualRequestsUntil.values().removeIf(until -> until <= now);
     List<ListedTarget> expired =
         known.values().stream().filter(each -> each.usedUntil() <= now).toList();
     if (!expired.isEmpty()) {
@@ -290,6 +357,9 @@
 
   private void drop(ListedTarget gone, long now) {
     known.remove(gone.target().id());
+    if (!gone.load().isInColdPeriod(now)) {
+      usualRequestsUntil.put(gone.address(), now + SharedLimits.NEWS_MILLIS);
+    }
     retainedLoadsByIncarnation.put(gone.target().incarnation(), new RetainedLoad(gone.load(), now));
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetLimits.java
@@ -105,6 +105,17 @@
     }
   }
 
+  @Override
+  public void onEnded(String incarnation) {
+    limits.onColdEnded(incarnation);
+    coldServices.remove(incarnation);
+  }
+
+  @Override
+  public boolean hasLimit(String service) {
+    return coldLimits.apply(service).isPresent();
+  }
+
   private double coldRate(String service) {
     return coldLimits.apply(service).map(ColdLimit::dividedRequestsPerSecond).orElse(0.0);
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -2,15 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.EvacuatedZones;
+import dev.ibishub.core.serving.LimitDivision;
+import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.MonotonicClock;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 final class TargetDirectoryTest {
@@ -297,7 +302,107 @@
     watched.onColdResponse(watched.usable("pages").get(0), 60_000);
     watched.onColdResponse(watched.usable("pages").get(0), 59_000);
     assertThat(coldStatements).containsExactly("t1@1 was in use");
-    assertThat(watched.extendsColdPeriod(target(false, 1).withColdRemainingMillis(59_000)))
-        .isFalse();
+  }
+
+  // Guards against a record that the reader withholds from all other entries because a response,
+  // which only the reader got, said the same before.
+  @Test
+  void recordIsNewsAlthoughResponseStatedTheColdPeriod() {
+    TargetDirectory watched = directoryOfColdTargets();
+    Target announced = target(false, 1);
+    watched.onAnnounced(announced, 1);
+    watched.onColdResponse(watched.usable("pages").get(0), 60_000);
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(59_000))).isTrue();
+
+    watched.onAnnounced(announced.withColdRemainingMillis(59_000), 2);
+    assertThat(watched.extendsColdPeriod(announced.withColdRemainingMillis(58_000))).isFalse();
+    assertThat(coldStatements).containsExactly("t1@1 was in use");
+  }
+
+  // Guards against requests to a cold target from entries that still know its predecessor at the
+  // address as warm, because the record of the predecessor was dropped in between.
+  @Test
+  void coldSuccessorOfDroppedTargetWasInUse() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(at("t1", 80, 1), 1);
+    watched.onAnnounced(at("t2", 81, 1), 2);
+    watched.onDropped("t1", 0, MonotonicClock.millis());
+    watched.onAnnounced(at("t1", 80, 2).withColdRemainingMillis(60_000), 4);
+    watched.onAnnounced(at("t3", 81, 2).withColdRemainingMillis(60_000), 5);
+    watched.onAnnounced(at("t4", 82, 2).withColdRemainingMillis(60_000), 6);
+    assertThat(coldStatements).containsExactly("t1@2 was in use", "t3@2 was in use", "t4@2");
+  }
+
+  // Guards against requests to a cold target that restarted soon after it turned cold in use. Other
+  // entries may not even have learned of the first cold period.
+  @Test
+  void coldSuccessorTakesOverThatItsPredecessorWasInUse() {
+    TargetDirectory watched = directoryOfColdTargets();
+    watched.onAnnounced(at("t1", 80, 1), 1);
+    watched.onAnnounced(at("t1", 80, 1).withColdRemainingMillis(60_000), 2);
+    watched.onAnnounced(at("t1", 80, 2).withColdRemainingMillis(60_000), 3);
+    watched.tick(MonotonicClock.millis() + SharedLimits.NEWS_MILLIS);
+    watched.onAnnounced(at("t1", 80, 3).withColdRemainingMillis(60_000), 4);
+    assertThat(coldStatements).containsExactly("t1@1 was in use", "t1@2 was in use", "t1@3");
+  }
+
+  // Guards against state that is kept for each restart of a target, for as long as its earlier
+  // incarnation said that it would be cold, and against a limit that is lost with a record although
+  // the target lives on.
+  @Test
+  void coldStateEndsWithItsIncarnation() {
+    List<String> ended = new ArrayList<>();
+    TargetDirectory watched =
+        new TargetDirectory(
+            "zone-a",
+            incarnation -> {},
+            new ColdListener() {
+              @Override
+              public void onCold(Target target, boolean wasInUse, long until, long now) {}
+
+              @Override
+              public void onEnded(String incarnation) {
+                ended.add(incarnation);
+              }
+            });
+    watched.onAnnounced(target(false, 1).withColdRemainingMillis(60_000), 1);
+    watched.onAnnounced(target(false, 1).withColdRemainingMillis(59_000), 2);
+    assertThat(ended).isEmpty();
+    watched.onAnnounced(target(false, 2).withColdRemainingMillis(60_000), 3);
+    assertThat(ended).containsExactly("t1@1");
+
+    watched.onDropped("t1", 0, 1_000);
+    watched.tick(1_000 + TargetDirectory.LOAD_RETENTION_MILLIS);
+    assertThat(ended).hasSize(1);
+    watched.tick(1_001 + TargetDirectory.LOAD_RETENTION_MILLIS);
+    assertThat(ended).containsExactly("t1@1", "t1@2");
+  }
+
+  // Guards against a service without a limit for cold targets whose requests all go to the warm
+  // ones, and against a limit that comes into force while a target is cold and misses it.
+  @Test
+  void coldPeriodMattersOnlyWhileServiceHasALimit() {
+    PrometheusRegistry registry = new PrometheusRegistry();
+    AtomicReference<Optional<ColdLimit>> limit = new AtomicReference<>(Optional.empty());
+    TargetDirectory limited =
+        new TargetDirectory(
+            "zone-a",
+            incarnation -> {},
+            new TargetLimits(
+                new SharedLimits("own", LimitDivision.amongFewHolders()),
+                frame -> {},
+                service -> limit.get(),
+                registry));
+    Target cold = target(false, 1).withColdRemainingMillis(60_000);
+    limited.onAnnounced(cold, 1);
+    TargetLoad load = limited.usable("pages").get(0).load();
+    assertThat(load.isCold(MonotonicClock.millis())).isFalse();
+    assertThat(limited.extendsColdPeriod(cold)).isFalse();
+    assertThat(limited.endsColdPeriod(cold, target(false, 1))).isFalse();
+
+    limit.set(Optional.of(new ColdLimit(14, 1.5, 5)));
+    assertThat(load.isCold(MonotonicClock.millis())).isTrue();
+    assertThat(limited.extendsColdPeriod(cold)).isTrue();
+    assertThat(limited.endsColdPeriod(cold, target(false, 1))).isTrue();
   }
 }
