--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -119,17 +119,17 @@
     restarted.tick(now);
     assertThat(restarted.knowsEntries(now)).isFalse();
 
-    hear(restarted, startedAt - PeerMesh.SETTLING_MILLIS + 1);
+    hearEntryStartedAt(restarted, startedAt - PeerMesh.SETTLING_MILLIS + 1);
     assertThat(restarted.entriesStartedAfter(startedAt - 1_000, MonotonicClock.millis()))
         .isEqualTo(2);
     assertThat(restarted.knowsEntries(MonotonicClock.millis())).isFalse();
 
-    hear(restarted, startedAt - PeerMesh.SETTLING_MILLIS);
+    hearEntryStartedAt(restarted, startedAt - PeerMesh.SETTLING_MILLIS);
     assertThat(restarted.knowsEntries(MonotonicClock.millis())).isTrue();
     assertThat(restarted.entriesStartedAfter(startedAt, MonotonicClock.millis())).isZero();
   }
 
-  private void hear(PeerMesh mesh, long startedAt) {
+  private void hearEntryStartedAt(PeerMesh mesh, long startedAt) {
     EntryFacts other = new EntryFacts(OTHER, OTHER + ":1", startedAt, true, false);
     mesh.onFrame(
         link(new EmbeddedChannel()),
