Add a rule that spreads requests over targets under stale reports

Cause: entries that take the least loaded target by reports 0.1 to 0.4 s old herd onto the same ones; requests wait for a slot there while other targets have free slots. Change: TargetSpread.levelling distributes what the entries are expected to have sent since the reports in proportion to what each target lacks to a common level. It needs no message: SendRate gives the entry's own rate, the others are taken to send as much. Nothing uses it yet; the present rule is TargetSpread.nearLowest.

--- a/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetChoice.java
@@ -15,8 +15,12 @@
  *
  * @param entries how many entries send to the same targets
  * @param maximumRequests number of requests from which a target counts as full
+ * @param othersSendsPerMilli requests that the other entries together send to the service, per
+ *     millisecond
+ * @param spread how requests are spread over targets that are not full
  */
-public record TargetChoice(int entries, double maximumRequests) {
+public record TargetChoice(
+    int entries, double maximumRequests, double othersSendsPerMilli, TargetSpread spread) {
   /** Cost of choosing a target in another failure domain, in requests. */
   private static final double OTHER_ZONE_COST = 0.2;
 
@@ -28,6 +32,11 @@
    */
   private static final double TIE_TOLERANCE = 1.1;
 
+  /** Creates a choice that takes any target whose cost is near the lowest. */
+  public TargetChoice(int entries, double maximumRequests) {
+    this(entries, maximumRequests, 0, TargetSpread.nearLowest(TIE_TOLERANCE));
+  }
+
   /**
    * A target that may be chosen.
    *
@@ -101,11 +110,13 @@
         usable.stream()
             .filter(candidate -> candidate.load().requests(now, entries) < maximumRequests)
             .toList();
-    double lowest =
-        free.stream().mapToDouble(candidate -> cost(candidate, now)).min().orElse(Double.MAX_VALUE);
-    return free.stream()
-        .filter(candidate -> cost(candidate, now) < lowest + TIE_TOLERANCE)
-        .findFirst();
+    if (free.isEmpty()) {
+      return Optional.empty();
+    }
+    double[] costs = free.stream().mapToDouble(candidate -> cost(candidate, now)).toArray();
+    double meanReportAge =
+        free.stream().mapToLong(each -> each.load().reportAgeMillis(now)).average().orElse(0);
+    return Optional.of(free.get(spread.pick(costs, othersSendsPerMilli * meanReportAge)));
   }
 
   private double cost(Candidate candidate, long now) {
--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -210,6 +210,11 @@
     return report.requests() + sentSinceReport.size();
   }
 
+  /** Returns the age of the target's report, milliseconds; 0 without a recent report. */
+  synchronized long reportAgeMillis(long now) {
+    return hasReport(now) ? Math.max(0, now - report.measuredAt()) : 0;
+  }
+
   /** Returns the penalty for failures and slowness when targets are compared, in requests. */
   public synchronized double penalty(long now) {
     double slowness = Math.max(0, report.slowdown() - USUAL_SLOWDOWN) * SLOWNESS_COST;
