Decide who is admitted, who waits and who is refused

Cause: targets took requests of all classes up to a fixed number each, so that engines' queues made all classes late, and engines went on to receive requests while their group stood still.

An entry starts requests by credit: its part of the rate at which requests end, corrected by the difference between capacity and load. Capacity follows from the pass time that the entry sees between pieces and the reported number of running requests. While no stream progresses, new requests are refused and returning ones wait.

--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/CapacityEstimate.java
@@ -0,0 +1,146 @@
+package dev.ibishub.core.serving.admission;
+
+/**
+ * Estimates how many requests a service's engines can run so that the pauses of all streams stay
+ * within their objective. Not thread-safe.
+ *
+ * <p>The ranks of a group step together, so the time between two pieces of any stream is the
+ * duration of a pass. The part of it above the duration of an empty pass grows with the number of
+ * requests that run, and includes the skew of the expert map. From both follows the number of
+ * requests at which a pass takes as long as the pause objective.
+ */
+public final class CapacityEstimate {
+  /** Time constant of the moving averages of pass times, milliseconds; three to five passes. */
+  static final double SMOOTHING_MILLIS = 400;
+
+  /**
+   * Time without any piece after which all streams count as stalled, milliseconds. Pauses have
+   * objectives of 120 ms and less.
+   */
+  static final long STALL_MILLIS = 350;
+
+  /** Age beyond which observed pass times no longer count, milliseconds. */
+  static final long MAXIMUM_AGE_MILLIS = 2_000;
+
+  /** Observed deviations from the mean pass time that are kept between it and the objective. */
+  private static final double DEVIATIONS = 2;
+
+  /** Running requests per engine below which their effect on the pass time can't be measured. */
+  private static final double MINIMUM_RUNNING = 1;
+
+  private final EngineTiming timing;
+  private double meanPassMillis;
+  private double deviationMillis;
+  private double meanRunning;
+  private long observedAt = Long.MIN_VALUE / 2;
+  private long pieceAt = Long.MIN_VALUE / 2;
+  private int begunStreams;
+  private boolean isStalled;
+  private long stalledAt;
+  private long stalledStep = -1;
+
+  /** Creates an estimate without observations, which relies on the stated timing. */
+  public CapacityEstimate(EngineTiming timing) {
+    this.timing = timing;
+    meanPassMillis = timing.fullPassMillis();
+  }
+
+  /** Records the first piece of a stream. */
+  public void onFirstPiece(long now) {
+    begunStreams++;
+    onProgress(now);
+  }
+
+  /** Records the end of a stream that had begun. */
+  public void onBegunStreamEnded() {
+    begunStreams--;
+  }
+
+  /**
+   * Records a further piece of a stream.
+   *
+   * @param pauseMillis time since the stream's previous piece, milliseconds
+   * @param load load of the service at that time
+   */
+  public void onPause(double pauseMillis, ServiceLoad load, long now) {
+    onProgress(now);
+    if (pauseMillis > STALL_MILLIS || load.targets() == 0) {
+      return;
+    }
+    double running = load.running() / load.targets();
+    boolean isFirst = now - observedAt > MAXIMUM_AGE_MILLIS;
+    double weight = isFirst ? 1 : 1 - Math.exp(-(now - observedAt) / SMOOTHING_MILLIS);
+    double deviation = isFirst ? 0 : Math.abs(pauseMillis - meanPassMillis);
+    meanPassMillis += weight * (pauseMillis - meanPassMillis);
+    deviationMillis = isFirst ? 0 : deviationMillis + weight * (deviation - deviationMillis);
+    meanRunning = isFirst ? running : meanRunning + weight * (running - meanRunning);
+    observedAt = now;
+  }
+
+  private void onProgress(long now) {
+    isStalled = false;
+    pieceAt = now;
+  }
+
+  /**
+   * Whether the engines stand still: streams of this entry had begun, and none had a piece for a
+   * while. It remains so until a piece arrives or the reported step advances, even when the callers
+   * of all streams have left.
+   *
+   * @param load load of the service
+   */
+  public boolean isStalled(ServiceLoad load, long now) {
+    if (!isStalled && begunStreams > 0 && now - pieceAt > STALL_MILLIS) {
+      isStalled = true;
+      stalledAt = now;
+      stalledStep = -1;
+    }
+    if (isStalled && load.step() >= 0 && load.steppedAt() > stalledAt) {
+      // Of a report that was made before the stall, the step is lower although nothing moves.
+      isStalled = stalledStep < 0 || load.step() <= stalledStep;
+      stalledStep = stalledStep < 0 ? load.step() : stalledStep;
+    }
+    if (!isStalled && begunStreams > 0 && now - pieceAt > STALL_MILLIS) {
+      pieceAt = now;
+    }
+    return isStalled;
+  }
+
+  /** Returns the mean duration of a pass, observed or else stated, milliseconds. */
+  public double passMillis(long now) {
+    return isObserved(now) ? meanPassMillis : timing.fullPassMillis();
+  }
+
+  /**
+   * Returns the mean number of requests that an engine may run; between 1 and its slots.
+   *
+   * @param now the current time, milliseconds
+   */
+  public double requestsPerTarget(long now) {
+    if (timing.pauseObjectiveMillis() <= 0) {
+      return timing.slots();
+    }
+    boolean isMeasurable = isObserved(now) && meanRunning >= MINIMUM_RUNNING;
+    double millisPerRequest =
+        isMeasurable
+            ? (meanPassMillis - timing.basePassMillis()) / meanRunning
+            : timing.millisPerRequest();
+    double available =
+        timing.pauseObjectiveMillis()
+            - timing.basePassMillis()
+            - (isMeasurable ? DEVIATIONS * deviationMillis : 0);
+    if (millisPerRequest <= 0) {
+      return timing.slots();
+    }
+    return Math.max(1, Math.min(timing.slots(), available / millisPerRequest));
+  }
+
+  /** Returns how many requests end per second, with the given number of them running. */
+  public double endsPerSecond(double running, long now) {
+    return running * 1_000 / (timing.passesPerAnswer() * passMillis(now));
+  }
+
+  private boolean isObserved(long now) {
+    return now - observedAt <= MAXIMUM_AGE_MILLIS;
+  }
+}
