Let returning requests wait while the engines stand still

Cause: takeDue refused all that waited during a standstill, also requests that had been refused before and have no further try; found by AdmissionControlTest. A stall also has to end where no stream of the entry and no reported step can show progress, or the entry would refuse for good.

Change: returning requests keep waiting; a stall ends by a piece, a changed step, an idle group, missing steps or after 5 s without streams.

--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
@@ -123,6 +123,11 @@
     shares.onAdmitted(request.workspace(), request.tokens(), now);
   }
 
+  /** Counts a request that is sent once more, or without a decision. */
+  public void onFurtherStart(long now) {
+    credit.onStart(now);
+  }
+
   /** Removes a request that waits, whose caller has left or whose deadline has passed. */
   public boolean remove(T item) {
     return queue.remove(item);
@@ -138,16 +143,13 @@
     List<Due<T>> due = new ArrayList<>();
     boolean isStalled = capacity.isStalled(load, now);
     double passMillis = capacity.passMillis(now);
-    queue.all().stream()
-        .filter(each -> isStalled || now > policy.latestStart(each.request(), passMillis))
-        .map(
-            each ->
-                refused(
-                    each,
-                    isStalled ? Decision.Reason.STALLED : Decision.Reason.OVERDUE,
-                    now,
-                    random))
-        .forEach(due::add);
+    for (AdmissionQueue.Waiting<T> each : queue.all()) {
+      if (isStalled && !policy.mayWaitForProgress(each.request())) {
+        due.add(refused(each, Decision.Reason.STALLED, now, random));
+      } else if (now > policy.latestStart(each.request(), passMillis)) {
+        due.add(refused(each, Decision.Reason.OVERDUE, now, random));
+      }
+    }
     due.forEach(each -> queue.remove(each.waiting().item()));
     while (!isStalled && !queue.isEmpty()) {
       AdmissionQueue.Waiting<T> first = queue.first().orElseThrow();
--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionPolicy.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionPolicy.java
@@ -47,7 +47,7 @@
     }
 
     /** Returns the predicted wait, milliseconds. */
-    double waitMillis() {
+    public double waitMillis() {
       double missing = Math.max(0, ahead + needed - credit);
       double rate = Math.max(MINIMUM_STARTS_PER_SECOND, startsPerSecond - urgentPerSecond);
       return missing / rate * 1_000;
--- a/core/src/main/java/dev/ibishub/core/serving/admission/CapacityEstimate.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/CapacityEstimate.java
@@ -19,6 +19,15 @@
    */
   static final long STALL_MILLIS = 350;
 
+  /** Number of streams up to which a stall has to last twice as long to count. */
+  private static final int FEW_STREAMS = 2;
+
+  /**
+   * Time after which a stall ends that no stream of this entry and no report confirms,
+   * milliseconds; longer than VMs freeze.
+   */
+  private static final long LONGEST_UNCONFIRMED_MILLIS = 5_000;
+
   /** Age beyond which observed pass times no longer count, milliseconds. */
   static final long MAXIMUM_AGE_MILLIS = 2_000;
 
@@ -28,7 +37,7 @@
   /** Running requests per engine below which their effect on the pass time can't be measured. */
   private static final double MINIMUM_RUNNING = 1;
 
-  private final EngineTiming timing;
+  private EngineTiming timing;
   private double meanPassMillis;
   private double deviationMillis;
   private double meanRunning;
@@ -45,6 +54,11 @@
     meanPassMillis = timing.fullPassMillis();
   }
 
+  /** Replaces the stated timing, after a new configuration. */
+  public void changeTiming(EngineTiming newTiming) {
+    timing = newTiming;
+  }
+
   /** Records the first piece of a stream. */
   public void onFirstPiece(long now) {
     begunStreams++;
@@ -84,28 +98,46 @@
 
   /**
    * Whether the engines stand still: streams of this entry had begun, and none had a piece for a
-   * while. It remains so until a piece arrives or the reported step advances, even when the callers
+   * while. It remains so until a piece arrives or the reported step changes, even when the callers
    * of all streams have left.
    *
    * @param load load of the service
    */
   public boolean isStalled(ServiceLoad load, long now) {
-    if (!isStalled && begunStreams > 0 && now - pieceAt > STALL_MILLIS) {
+    if (isStalled) {
+      isStalled = !isMovingAgain(load) && !isUnknown(load, now);
+      // Streams of this entry that remain silent are judged anew.
+      pieceAt = isStalled ? pieceAt : now;
+    } else if (begunStreams > 0 && now - pieceAt > stallMillis()) {
       isStalled = true;
       stalledAt = now;
       stalledStep = -1;
     }
-    if (isStalled && load.step() >= 0 && load.steppedAt() > stalledAt) {
-      // Of a report that was made before the stall, the step is lower although nothing moves.
-      isStalled = stalledStep < 0 || load.step() <= stalledStep;
-      stalledStep = stalledStep < 0 ? load.step() : stalledStep;
-    }
-    if (!isStalled && begunStreams > 0 && now - pieceAt > STALL_MILLIS) {
-      pieceAt = now;
-    }
     return isStalled;
   }
 
+  /** One or two streams may be silent because of their targets, not of the whole group. */
+  private long stallMillis() {
+    return begunStreams > FEW_STREAMS ? STALL_MILLIS : 2 * STALL_MILLIS;
+  }
+
+  private boolean isMovingAgain(ServiceLoad load) {
+    if (load.step() < 0 || load.steppedAt() <= stalledAt) {
+      return false;
+    }
+    // The step of an earlier report is lower although nothing moved since.
+    boolean hasChanged = stalledStep >= 0 && load.step() != stalledStep;
+    stalledStep = load.step();
+    return hasChanged;
+  }
+
+  /** Whether nothing is left that could show progress; requests have to be sent to find out. */
+  private boolean isUnknown(ServiceLoad load, long now) {
+    boolean isIdle = load.steppedAt() > stalledAt && load.requests() < 1;
+    return begunStreams == 0
+        && (load.step() < 0 || isIdle || now - stalledAt > LONGEST_UNCONFIRMED_MILLIS);
+  }
+
   /** Returns the mean duration of a pass, observed or else stated, milliseconds. */
   public double passMillis(long now) {
     return isObserved(now) ? meanPassMillis : timing.fullPassMillis();
