Connect admission to the request path

Requests for services with engines whose timing is stated, and whose routes differ in priority or by more than a tenth in latency objective, are sent, wait or are refused as AdmissionControl decides. The setting "admission" (automatic, on, off) overrides that. All other services are served as before.

A waiting request frees its place when its caller leaves, its deadline passes or the entry stops. After admission, one request may wait at an engine, whatever its latency objective.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -31,9 +31,10 @@
  * the caller's connection; not thread-safe. Used on the platform of ibishub's users; {@code
  * dev.ibishub.entry.RequestRunner} is the counterpart behind ibishub's own interface.
  *
- * <p>Requests are not queued here: each is sent to a target or refused at once. A request that is
- * queued at one entry is not visible to the others and can't go to whichever target has room first.
- * Only a group of ranks that is about to open is waited for, for less than a second.
+ * <p>Where {@link ServiceAdmission} applies, it decides whether and when a request is first sent.
+ * Elsewhere requests are not queued: each is sent to a target or refused at once, as a request that
+ * is queued at one entry is not visible to the others and can't go to whichever target has room
+ * first. Only a group of ranks that is about to open is waited for, for less than a second.
  */
 final class Exchange {
   /**
@@ -88,6 +89,11 @@
   private OptionalLong lastEventId = OptionalLong.empty();
   private Optional<RequestIdentity> identity = Optional.empty();
 
+  /** The request for admission, if the service has any. */
+  private Optional<AdmissionTicket> ticket = Optional.empty();
+
+  private boolean isAdmitted;
+
   /** When the wait for a group that is about to open ends, on the monotonic clock, milliseconds. */
   private long groupWaitUntil = Long.MAX_VALUE;
 
@@ -201,6 +207,10 @@
       return;
     }
     boolean isClosed = TargetChoice.areClosed(loads, now);
+    if (!isClosed && !loads.isEmpty() && needsAdmission()) {
+      requestAdmission();
+      return;
+    }
     Optional<TargetDirectory.ListedTarget> chosen =
         isClosed ? Optional.empty() : choose(usable, now);
     if (chosen.isEmpty()) {
@@ -210,6 +220,41 @@
     startAttempt(chosen.get(), now);
   }
 
+  /**
+   * Whether the first send of this request waits for a decision. Streams that were resumed here and
+   * requests that were sent before do not: their callers wait for the rest.
+   */
+  private boolean needsAdmission() {
+    return !isAdmitted
+        && sends == 0
+        && caller.lastEventId().isEmpty()
+        && context.admission().appliesTo(routed.service());
+  }
+
+  private void requestAdmission() {
+    AdmissionTicket requested =
+        new AdmissionTicket(
+            caller.attemptId(),
+            routed,
+            context.admission().request(routed, caller, arrivedAt),
+            loop,
+            this::onAdmitted,
+            this::onNotAdmitted);
+    ticket = Optional.of(requested);
+    context.admission().request(requested);
+  }
+
+  private void onAdmitted() {
+    isAdmitted = true;
+    sendUnlessOver();
+  }
+
+  private void onNotAdmitted(ResultCode code, long retryMillis, String cause) {
+    if (!isOver) {
+      end(code, retryMillis, cause);
+    }
+  }
+
   private void sendUnlessOver() {
     if (!isOver) {
       send();
@@ -231,6 +276,9 @@
     tried.add(target.target().id());
     sends++;
     target.load().onSent(now);
+    if (!isAdmitted || sends > 1) {
+      context.admission().onFurtherSend(routed.service(), now);
+    }
     context.targetLimits().onSent(routed.service(), target.target().incarnation(), now);
     Attempt attempt = new Attempt(target, now);
     attempts.add(attempt);
@@ -265,9 +313,7 @@
     double maximumRequests =
         routed
             .engine()
-            .map(
-                profile ->
-                    profile.slots() + profile.queueLimit(routed.route().latencyObjectiveMillis()))
+            .map(profile -> profile.slots() + queueLimit(profile))
             .map(Integer::doubleValue)
             .orElse(Double.MAX_VALUE);
     TargetChoice choice = new TargetChoice(context.entries().getAsInt(), maximumRequests);
@@ -278,6 +324,17 @@
     return TargetDirectory.choose(choice, allowed, tried, context.targets().ownZone(), now);
   }
 
+  /**
+   * Returns how many requests may wait at an engine for this one to be sent there. After admission
+   * one is enough to keep slots in use between two reports: what waits at an engine can't go to
+   * another one that has room first.
+   */
+  private int queueLimit(EngineProfile profile) {
+    return isAdmitted && sends == 0
+        ? 1
+        : profile.queueLimit(routed.route().latencyObjectiveMillis());
+  }
+
   private FullHttpRequest requestFor(TargetDirectory.ListedTarget target, long now) {
     FullHttpRequest copy = HopByHopHeaders.endToEndCopy(request);
     context
@@ -319,6 +376,9 @@
   }
 
   private long retryMillisWhenFull(double random) {
+    if (isAdmitted) {
+      return RetryAdvice.whileClosed(routed.deadline() - MonotonicClock.millis(), random);
+    }
     return routed
         .engine()
         .map(profile -> RetryAdvice.whenFull(profile.slotWaitMillis(), random))
@@ -333,6 +393,9 @@
     private final SilenceMonitor silenceMonitor;
     private boolean isSilent;
 
+    /** When the last piece came, milliseconds; empty before the first. */
+    private OptionalLong pieceAt = OptionalLong.empty();
+
     Attempt(TargetDirectory.ListedTarget target, long sentAt) {
       this.target = target;
       this.sentAt = sentAt;
@@ -394,6 +457,7 @@
       relay.cancel();
       attempts.remove(this);
       target.load().onEnded();
+      pieceAt.ifPresent(any -> context.admission().onEnded(routed.service()));
       context.metrics().onAttemptEnded(routed.service(), outcome);
     }
 
@@ -463,12 +527,22 @@
       silenceMonitor.onPiece(now);
       timings.onPiece(now);
       context.services().streamProgress(routed.service()).onPiece(now);
+      reportPassTime(now);
       response.writePiece(bytes);
       if (!response.isWritable()) {
         relay.setReading(false);
       }
     }
 
+    private void reportPassTime(long now) {
+      if (pieceAt.isPresent()) {
+        context.admission().onPause(routed.service(), now - pieceAt.getAsLong(), now);
+      } else {
+        context.admission().onFirstPiece(routed.service(), now);
+      }
+      pieceAt = OptionalLong.of(now);
+    }
+
     @Override
     public void onEnd() {
       onSuccess();
@@ -596,6 +670,7 @@
 
   private void complete(String result) {
     isOver = true;
+    ticket.ifPresent(context.admission()::withdraw);
     List.copyOf(attempts).forEach(attempt -> attempt.end("cancelled"));
     if (timer != null) {
       timer.cancel(false);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -17,6 +17,7 @@
  * @param services statistics of each service's responses
  * @param crashes detects requests that crash targets
  * @param targetLimits the request limits that targets announce
+ * @param admission decides whether and when requests for model engines are sent
  * @param entries how many entries share the targets, 1 or more
  * @param stop whether and when this process stops
  * @param metrics metrics of the request path
@@ -30,6 +31,7 @@
     ServiceStatistics services,
     CrashDetector crashes,
     TargetLimits targetLimits,
+    ServiceAdmission admission,
     IntSupplier entries,
     StopPlan stop,
     RequestMetrics metrics,
--- a/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/EngineProfile.java
@@ -1,5 +1,7 @@
 package dev.ibishub.gateway.model;
 
+import dev.ibishub.core.serving.admission.EngineTiming;
+
 /**
  * Capacity and timing of a service's model engines, as stated by the operators.
  *
@@ -145,6 +147,27 @@
     return Math.max(1, (int) (queueMillis / Math.max(1, slotWaitMillis())));
   }
 
+  /** Whether the duration of a pass and the length of an answer are stated. */
+  public boolean statesPassTime() {
+    return baseStepMillis > 0 && stepMillisPerRequest > 0 && meanAnswerTokens > 0 && slots > 0;
+  }
+
+  /**
+   * Returns the timing by which admission estimates the engines' capacity. A step produces a token
+   * of each answer.
+   *
+   * @param pauseObjectiveMillis shortest pause objective of the service's routes, milliseconds; 0
+   *     for none
+   */
+  public EngineTiming timing(long pauseObjectiveMillis) {
+    return new EngineTiming(
+        slots,
+        stepsPerPass * baseStepMillis,
+        passMillis(BALANCED_SKEW),
+        (double) meanAnswerTokens / stepsPerPass,
+        pauseObjectiveMillis);
+  }
+
   /** Returns how long to wait for a group to open once all its ranks are present, milliseconds. */
   public long formationTimeoutMillis() {
     return (long) (FORMATION_TIMEOUT_FACTOR * formationMillis);
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
@@ -0,0 +1,237 @@
+package dev.ibishub.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.serving.LimitDivision;
+import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.core.serving.RetryLimits;
+import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.core.serving.TargetReport;
+import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.model.CallerLimits;
+import dev.ibishub.gateway.model.EngineProfile;
+import dev.ibishub.gateway.model.Route;
+import dev.ibishub.gateway.model.Service;
+import dev.ibishub.gateway.model.ServingConfiguration;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.MonotonicClock;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests admission on the request path, with raw bytes on both sides. */
+final class AdmissionFrontTest {
+  private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+  private static final int TIMEOUT_MILLIS = 60_000;
+  private static final int SLOTS = 2;
+
+  /** Reports of this age never expire during a test. */
+  private static final long FUTURE_MILLIS = 3_600_000;
+
+  private static final EngineProfile ENGINE =
+      new EngineProfile(SLOTS, 6, 0.6, 6, 120, 800, 60, 0, 0, 0, 0, 0, 0, 0.5, 600);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final CrashDetector crashes = new CrashDetector(any -> {});
+  private final TargetDirectory targets = new TargetDirectory("z");
+  private final ServingConfiguration configuration =
+      ServingConfiguration.of(
+          1,
+          List.of(route("/urgent/", 0), route("/later/", 1)),
+          Map.of("s", new Service("s", Optional.of(ENGINE))),
+          Map.of(),
+          false,
+          new CallerLimits(600, 100, 300, 60_000));
+  private volatile boolean isLeaving;
+  private ServerSocket target;
+  private ServiceAdmission admission;
+  private CallerServer server;
+  private int port;
+
+  private static Route route(String prefix, int priority) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        RequestKind.RESUMABLE_STREAM,
+        TIMEOUT_MILLIS,
+        TIMEOUT_MILLIS,
+        120,
+        priority,
+        List.of(new Route.Destination("s", 1)),
+        2,
+        false);
+  }
+
+  private final class Stop implements StopPlan {
+    @Override
+    public boolean isLeaving() {
+      return isLeaving;
+    }
+
+    @Override
+    public boolean mayInterrupt(long deadline) {
+      return false;
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    target = new ServerSocket(0, 10, LOOPBACK);
+    target.setSoTimeout(TIMEOUT_MILLIS);
+    targets.onAnnounced(
+        new Target(
+            "t", "s", LOOPBACK.getHostAddress(), target.getLocalPort(), "z", SLOTS, false, 1),
+        1);
+    admission =
+        new ServiceAdmission(
+            AdmissionMode.AUTOMATIC,
+            () -> Optional.of(configuration),
+            targets,
+            () -> 1,
+            new Stop(),
+            WorkspaceShares.EQUAL,
+            new PrometheusRegistry());
+    server =
+        new CallerServer(
+            new RequestContext(
+                new PlainDialect(),
+                () -> Optional.of(configuration),
+                targets,
+                new RetryBudgets(new RetryLimits(1, 10, 10_000), MonotonicClock.millis(), true),
+                new ServiceStatistics(),
+                crashes,
+                new TargetLimits(
+                    new SharedLimits("own", LimitDivision.amongFewHolders()),
+                    any -> {},
+                    new PrometheusRegistry()),
+                admission,
+                () -> 1,
+                new Stop(),
+                new RequestMetrics(new PrometheusRegistry()),
+                MonotonicClock.millis()));
+    try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+      port = free.getLocalPort();
+    }
+    server.listen(group, new InetSocketAddress(LOOPBACK, port));
+    report(40);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    target.close();
+    group.shutdownGracefully();
+  }
+
+  private void report(int requests) {
+    long now = MonotonicClock.millis();
+    targets.onReport(
+        LOOPBACK.getHostAddress(), new TargetReport(requests, 1, true, now + FUTURE_MILLIS));
+  }
+
+  private Socket send(String path) throws IOException {
+    Socket caller = new Socket(LOOPBACK, port);
+    caller.setSoTimeout(TIMEOUT_MILLIS);
+    String request =
+        "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    return caller;
+  }
+
+  private static String responseTo(Socket caller) throws IOException {
+    return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      Thread.sleep(5);
+    }
+  }
+
+  /** Sends requests until one waits, and returns its caller. */
+  private Socket sendUntilOneWaits() throws IOException, InterruptedException {
+    Socket caller = send("/later/0");
+    for (int request = 1; admission.waiting("s") == 0; request++) {
+      Thread.sleep(50);
+      caller = admission.waiting("s") == 0 ? send("/later/" + request) : caller;
+    }
+    return caller;
+  }
+
+  // Guards against requests that wait for good although a target has room again.
+  @Test
+  void waitingRequestIsSentOnceTargetHasRoom() throws IOException, InterruptedException {
+    try (Socket caller = sendUntilOneWaits()) {
+      report(0);
+      await(() -> admission.waiting("s") == 0);
+      assertThat(caller.isClosed()).isFalse();
+    }
+  }
+
+  // Guards against a request that is sent although its caller has left, and that holds a place.
+  @Test
+  void callerThatLeavesFreesItsPlace() throws IOException, InterruptedException {
+    Socket caller = sendUntilOneWaits();
+    caller.close();
+
+    await(() -> admission.waiting("s") == 0);
+    assertThat(admission.waiting("s")).isZero();
+  }
+
+  // Guards against callers that wait at an entry until its process ends.
+  @Test
+  void stoppingEntryRefusesWhatWaits() throws IOException, InterruptedException {
+    try (Socket caller = sendUntilOneWaits()) {
+      isLeaving = true;
+
+      assertThat(responseTo(caller))
+          .startsWith("HTTP/1.1 503 ")
+          .containsIgnoringCase("retry-after")
+          .contains("ENTRY_LEAVING");
+    }
+  }
+
+  // Guards against other deployments that would be served differently: routes alike, or engines
+  // whose timing is not stated.
+  @Test
+  void admissionAppliesOnlyWhereRoutesDiffer() {
+    ServingConfiguration alike =
+        ServingConfiguration.of(
+            1,
+            List.of(route("/one/", 1), route("/two/", 1)),
+            configuration.services(),
+            Map.of(),
+            false,
+            CallerLimits.DEFAULTS);
+    ServingConfiguration plain =
+        ServingConfiguration.of(
+            1,
+            List.of(route("/one/", 0), route("/two/", 1)),
+            Map.of("s", new Service("s", Optional.empty())),
+            Map.of(),
+            false,
+            CallerLimits.DEFAULTS);
+
+    assertThat(AdmissionScope.of(configuration, AdmissionMode.AUTOMATIC).timing("s")).isPresent();
+    assertThat(AdmissionScope.of(configuration, AdmissionMode.OFF).timing("s")).isEmpty();
+    assertThat(AdmissionScope.of(alike, AdmissionMode.AUTOMATIC).timing("s")).isEmpty();
+    assertThat(AdmissionScope.of(alike, AdmissionMode.ON).timing("s")).isPresent();
+    assertThat(AdmissionScope.of(plain, AdmissionMode.ON).timing("s")).isEmpty();
+  }
+}
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetReport;
+import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.ServingConfiguration;
@@ -95,6 +96,14 @@
                 new ServiceStatistics(),
                 crashes,
                 limits,
+                new ServiceAdmission(
+                    AdmissionMode.AUTOMATIC,
+                    () -> configuration,
+                    targets,
+                    () -> 1,
+                    new NeverStops(),
+                    WorkspaceShares.EQUAL,
+                    new PrometheusRegistry()),
                 () -> 1,
                 new NeverStops(),
                 new RequestMetrics(new PrometheusRegistry()),
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -5,15 +5,18 @@
 import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
+import dev.ibishub.gateway.front.AdmissionMode;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.CrashDetector;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
 import dev.ibishub.gateway.front.RetryBudgets;
+import dev.ibishub.gateway.front.ServiceAdmission;
 import dev.ibishub.gateway.front.ServiceStatistics;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.front.TargetLimits;
@@ -96,6 +99,7 @@
   private final RankPaths paths;
   private final GracefulStop stop;
   private final RetryBudgets budgets;
+  private final ServiceAdmission admission;
   private final long startedAt = MonotonicClock.millis();
   private volatile boolean isListening;
   private volatile boolean isAnnounced;
@@ -114,6 +118,15 @@
     targets = new TargetDirectory(settings.zone(), crashes::onIncarnationEnded);
     stop = new GracefulStop(settings);
     budgets = new RetryBudgets(retryLimits(settings), startedAt, settings.isFirstStart());
+    admission =
+        new ServiceAdmission(
+            AdmissionMode.of(settings.admission()),
+            configuration::get,
+            targets,
+            () -> mesh().entries(MonotonicClock.millis()),
+            stop,
+            WorkspaceShares.EQUAL,
+            PrometheusRegistry.defaultRegistry);
     store =
         new StoreClient(
             httpClient, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
@@ -182,6 +195,7 @@
             new ServiceStatistics(),
             crashes,
             limits,
+            admission,
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
@@ -237,6 +251,7 @@
     settings = changed;
     budgets.change(retryLimits(changed));
     stop.updateSettings(changed);
+    admission.change(AdmissionMode.of(changed.admission()));
     mesh.addHosts(
         changed.seeds().stream().map(SocketAddresses::host).toList(), MonotonicClock.millis());
   }
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -28,6 +28,8 @@
  * @param retriesPerRequest the number of retries that each request adds to the retry budget
  * @param sharedRetryAllowance the additional retries per window, shared by all entries
  * @param retryWindowSeconds the length of the retry window, seconds
+ * @param admission for which services requests are subject to admission: {@code automatic}, {@code
+ *     on} or {@code off}
  * @param metricsPort the port for metrics; 0 for no metrics
  * @param isFirstStart whether the whole system starts for the first time
  */
@@ -48,6 +50,7 @@
     double retriesPerRequest,
     double sharedRetryAllowance,
     int retryWindowSeconds,
+    String admission,
     int metricsPort,
     boolean isFirstStart) {
 
@@ -99,6 +102,11 @@
               .defaultingTo(0.0),
           Key.integer("retryWindowSeconds", "s", 1, 3_600, "Length of that window.")
               .defaultingTo(10L),
+          Key.text(
+                  "admission",
+                  TextFormats.oneOf("automatic", "on", "off"),
+                  "Whether requests for engines may wait or be refused by their urgency.")
+              .defaultingTo("automatic"),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
           Key.flag("firstStart", "Whether the whole system starts for the first time.")
               .defaultingTo(false));
@@ -172,6 +180,7 @@
         retriesPerRequest,
         sharedRetryAllowance,
         retryWindowSeconds,
+        admission,
         other.metricsPort,
         isFirstStart);
   }
@@ -208,6 +217,7 @@
         root.number("retriesPerRequest"),
         root.number("sharedRetryAllowance"),
         root.integer("retryWindowSeconds"),
+        root.text("admission"),
         root.integer("metricsPort"),
         root.flag("firstStart"));
   }
