--- a/gateway/src/test/java/dev/ibishub/gateway/experts/LoadRelayTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/experts/LoadRelayTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.serving.TargetReport;
+import dev.ibishub.core.serving.admission.ServiceLoad;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.wire.generated.Frame;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -110,4 +113,32 @@
 
     assertThat(second).hasSize(1);
   }
+
+  // Guards against an entry that can't tell a standstill from an entry of the previous build, whose
+  // reports state no step.
+  @Test
+  void stepIsPassedOnAndMayBeMissing() {
+    Frame[] sent = new Frame[1];
+    TargetDirectory receiving = new TargetDirectory("z");
+    receiving.onAnnounced(new Target("t", "s", HOST, 1, "z", 2, false, 1), 1);
+    LoadRelay sender = new LoadRelay(new TargetDirectory("z"), frame -> sent[0] = frame);
+    LoadRelay receiver = new LoadRelay(receiving, frame -> {});
+
+    sender.onReport(
+        HOST, new TargetReport(3, 1, true, 1_000, Optional.empty(), OptionalLong.of(42)));
+    sender.tick(true, 1_000);
+    receiver.onPeerReports(sent[0].getLoadReports(), 1_000);
+    assertThat(step(receiving, 1_000)).isEqualTo(42);
+
+    sender.onReport(HOST, new TargetReport(3, 1, true, 2_000));
+    sender.tick(true, 2_000);
+    receiver.onPeerReports(sent[0].getLoadReports(), 2_000);
+    assertThat(step(receiving, 2_000)).isEqualTo(-1);
+  }
+
+  private static long step(TargetDirectory directory, long now) {
+    ServiceLoad.Sum sum = new ServiceLoad.Sum(2);
+    directory.atHost(HOST).forEach(each -> each.load().addTo(sum, now, 1));
+    return sum.total(now, 1).step();
+  }
 }
