Test admission without reports and with closed targets

Guards against targets without reports that count as idle, and against closed ones that count as capacity.

--- a/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionControlTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionControlTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.core.serving.TargetReport;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -214,6 +216,29 @@
     assertThat(capacity.requestsPerTarget(2_000)).isBetween(2.5, 2.8);
   }
 
+  // Guards against an entry that takes targets for idle because their reports are missing.
+  @Test
+  void withoutReportsOwnRequestsCountForAllEntries() {
+    TargetLoad silent = new TargetLoad();
+    silent.onSent(0);
+    silent.onSent(0);
+    ServiceLoad.Sum sum = new ServiceLoad.Sum(TIMING.slots());
+    silent.addTo(sum, 1_000, 5);
+
+    assertThat(sum.total(1_000, 5).requests()).isEqualTo(10);
+  }
+
+  // Guards against capacity that is counted although nothing can be sent there.
+  @Test
+  void closedTargetIsNoCapacity() {
+    TargetLoad closed = new TargetLoad();
+    closed.onReport(new TargetReport(0, 1, false, 1_000));
+    ServiceLoad.Sum sum = new ServiceLoad.Sum(TIMING.slots());
+    closed.addTo(sum, 1_000, 5);
+
+    assertThat(sum.total(1_000, 5).targets()).isZero();
+  }
+
   // Guards against an estimate by pass times of long ago.
   @Test
   void statedTimingAppliesWithoutRecentPieces() {
