Mend what the review of admission found, and order routes within workspaces

Cause: (1) two pieces delivered together after a freeze of the entry made the pass time 0, the rate of ends infinite and the credit NaN, after which nothing was admitted any more. (2) Streams that began before admission applied were counted out but not in. (3) A start that found no target stayed counted, once for each entry. (4) Pauses while a slow caller was not read for counted as passes. Change: shortest plausible pass; streams and starts are counted in pairs; a standstill ends after 5 s whatever is known; the route's priority decides within a workspace's.

--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
@@ -40,7 +40,7 @@
 
   /**
    * Time for which free capacity has to last so that requests are sent without credit, in ages of
-   * the reports: until what is sent now is reported, and half of that again.
+   * the reports: until what is sent now is reported, and as long again.
    */
   private static final double AMPLE_AGES = 2;
 
@@ -123,6 +123,11 @@
     shares.onAdmitted(request.workspace(), request.tokens(), now);
   }
 
+  /** Takes back the latest start, of a request that found no target. */
+  public void onNotSent() {
+    credit.onNotSent();
+  }
+
   /** Counts a request that is sent once more, or without a decision. */
   public void onFurtherStart(long now) {
     credit.onStart(now);
--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionQueue.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionQueue.java
@@ -7,8 +7,9 @@
 
 /**
  * Requests that wait at an entry for one service, the first to be started first: by urgency, then
- * by their workspace's use at the time they began to wait, then by deadline. Bounded. Not
- * thread-safe.
+ * those that can still be in time, then by their workspace's use at the time they began to wait,
+ * then by deadline. Requests that were refused before are late in any case; if they came first,
+ * they would make new ones late as well. Bounded. Not thread-safe.
  *
  * @param <T> identifies a request
  */
--- a/core/src/main/java/dev/ibishub/core/serving/admission/CapacityEstimate.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/CapacityEstimate.java
@@ -23,14 +23,20 @@
   private static final int FEW_STREAMS = 2;
 
   /**
-   * Time after which a stall ends that no stream of this entry and no report confirms,
-   * milliseconds; longer than VMs freeze.
+   * Time after which a stall counts as ended whatever is known of it, milliseconds; longer than VMs
+   * freeze. Requests have to be sent to find out.
    */
   private static final long LONGEST_UNCONFIRMED_MILLIS = 5_000;
 
   /** Age beyond which observed pass times no longer count, milliseconds. */
   static final long MAXIMUM_AGE_MILLIS = 2_000;
 
+  /**
+   * Share of the duration of an empty pass below which a pause is none of the engines: pieces that
+   * were delayed on the way arrive together.
+   */
+  private static final double SHORTEST_PASS_SHARE = 0.5;
+
   /** Observed deviations from the mean pass time that are kept between it and the objective. */
   private static final double DEVIATIONS = 2;
 
@@ -78,7 +84,8 @@
    */
   public void onPause(double pauseMillis, ServiceLoad load, long now) {
     onProgress(now);
-    if (pauseMillis > STALL_MILLIS || load.targets() == 0) {
+    boolean isOnePass = pauseMillis >= SHORTEST_PASS_SHARE * timing.basePassMillis();
+    if (!isOnePass || pauseMillis > STALL_MILLIS || load.targets() == 0) {
       return;
     }
     double running = load.running() / load.targets();
@@ -134,13 +141,13 @@
   /** Whether nothing is left that could show progress; requests have to be sent to find out. */
   private boolean isUnknown(ServiceLoad load, long now) {
     boolean isIdle = load.steppedAt() > stalledAt && load.requests() < 1;
-    return begunStreams == 0
-        && (load.step() < 0 || isIdle || now - stalledAt > LONGEST_UNCONFIRMED_MILLIS);
+    return now - stalledAt > LONGEST_UNCONFIRMED_MILLIS
+        || (begunStreams <= 0 && (load.step() < 0 || isIdle));
   }
 
-  /** Returns the mean duration of a pass, observed or else stated, milliseconds. */
+  /** Returns the mean duration of a pass, observed or else stated, milliseconds; above 0. */
   public double passMillis(long now) {
-    return isObserved(now) ? meanPassMillis : timing.fullPassMillis();
+    return isObserved(now) && meanPassMillis > 0 ? meanPassMillis : timing.fullPassMillis();
   }
 
   /**
--- a/core/src/main/java/dev/ibishub/core/serving/admission/StartCredit.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/StartCredit.java
@@ -79,6 +79,13 @@
     credit--;
   }
 
+  /** Takes back the latest start. */
+  void onNotSent() {
+    if (starts.pollLast() != null) {
+      credit++;
+    }
+  }
+
   /** Returns how many requests this entry started that are not in reports of the given time. */
   int startsSince(long measuredAt, long now) {
     while (!starts.isEmpty() && starts.peekFirst() < now - MAXIMUM_REPORT_AGE_MILLIS) {
--- a/core/src/main/java/dev/ibishub/core/serving/admission/UsualWait.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/UsualWait.java
@@ -2,7 +2,7 @@
 
 /**
  * How long the callers of a route usually say that they wait, by which a caller that returns after
- * a refusal is recognized: it has at least a fifth of that time less. Thread-safe by one lock.
+ * a refusal is recognized: it has at least a tenth of that time less. Thread-safe by one lock.
  */
 public final class UsualWait {
   /** Fraction of the usual wait below which a caller counts as returning. */
--- a/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionControlTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionControlTest.java
@@ -91,6 +91,29 @@
     assertThat(started(idle(200), 200)).startsWith("first");
   }
 
+  // Guards against an estimate that two pieces delivered together after a freeze of this process
+  // make infinite, after which no request was admitted any more.
+  @Test
+  void piecesDeliveredTogetherAreNoPassOfNoDuration() {
+    capacity.onFirstPiece(0);
+    capacity.onPause(3_000, full(3_000), 3_000);
+    capacity.onPause(0, full(3_000), 3_000);
+
+    assertThat(capacity.passMillis(3_000)).isEqualTo(TIMING.fullPassMillis());
+    spendCredit();
+    assertThat(offer("one", 2, idle(3_000), 3_000)).isInstanceOf(Decision.Send.class);
+  }
+
+  // Guards against starts that never took place: each would count once for every entry and hold
+  // back the next requests.
+  @Test
+  void requestThatFoundNoTargetDoesNotCountAsStarted() {
+    offer("first", 1, full(0), 0);
+    control.onNotSent();
+
+    assertThat(offer("second", 1, full(0), 0)).isInstanceOf(Decision.Send.class);
+  }
+
   // Guards against a queue that holds requests which can't be in time any more.
   @Test
   void requestThatWaitedTooLongIsRefusedWithinTheTimeThatCallersHonour() {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -214,6 +214,9 @@
     Optional<TargetDirectory.ListedTarget> chosen =
         isClosed ? Optional.empty() : choose(usable, now);
     if (chosen.isEmpty()) {
+      if (isAdmitted && sends == 0) {
+        context.admission().onNotSent(routed.service());
+      }
       onNoTarget(loads, isClosed, now);
       return;
     }
@@ -401,6 +404,12 @@
     /** When the last piece came, milliseconds; empty before the first. */
     private OptionalLong pieceAt = OptionalLong.empty();
 
+    /** Whether admission counts this attempt among the streams that show progress. */
+    private boolean isCounted;
+
+    /** Whether reading was stopped since the last piece, so that the pause is not the engine's. */
+    private boolean wasSuspended;
+
     Attempt(TargetDirectory.ListedTarget target, long sentAt) {
       this.target = target;
       this.sentAt = sentAt;
@@ -462,7 +471,9 @@
       relay.cancel();
       attempts.remove(this);
       target.load().onEnded();
-      pieceAt.ifPresent(any -> context.admission().onEnded(routed.service()));
+      if (isCounted) {
+        context.admission().onEnded(routed.service());
+      }
       context.metrics().onAttemptEnded(routed.service(), outcome);
     }
 
@@ -536,15 +547,17 @@
       response.writePiece(bytes);
       if (!response.isWritable()) {
         relay.setReading(false);
+        wasSuspended = true;
       }
     }
 
     private void reportPassTime(long now) {
-      if (pieceAt.isPresent()) {
+      if (pieceAt.isEmpty()) {
+        isCounted = context.admission().onFirstPiece(routed.service(), now);
+      } else if (!wasSuspended) {
         context.admission().onPause(routed.service(), now - pieceAt.getAsLong(), now);
-      } else {
-        context.admission().onFirstPiece(routed.service(), now);
       }
+      wasSuspended = false;
       pieceAt = OptionalLong.of(now);
     }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Routing.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Routing.java
@@ -36,20 +36,29 @@
       long deadline)
       implements Routing {
 
+    /**
+     * Number of route priorities that are told apart within one priority of a workspace. Engines
+     * know ten priorities, which leaves room for three of workspaces.
+     */
+    private static final int ROUTE_PRIORITIES = 3;
+
     RetryRule retryRule() {
       return new RetryRule(route.kind(), route.maximumRuns());
     }
 
     /**
-     * Returns its priority among the requests that wait at an engine, 0 first; empty for a service
-     * without engines, as such a service has no order.
+     * Returns its priority among the requests that wait for an engine, 0 first; empty for a service
+     * without engines, as such a service has no order. The priority of the workspace goes first,
+     * that of the route decides between requests of equal workspaces: otherwise the urgent routes
+     * of all workspaces with the same priority would have no precedence over the others.
      */
     OptionalInt priority() {
       if (engine.isEmpty()) {
         return OptionalInt.empty();
       }
       OptionalInt own = workspace.map(Workspace::priority).orElse(OptionalInt.empty());
-      return OptionalInt.of(own.orElse(route.priority()));
+      int routeRank = Math.max(0, Math.min(ROUTE_PRIORITIES - 1, route.priority()));
+      return OptionalInt.of(own.orElse(route.priority()) * ROUTE_PRIORITIES + routeRank);
     }
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ServiceAdmission.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ServiceAdmission.java
@@ -189,9 +189,20 @@
     state(service).ifPresent(state -> state.onSent(now));
   }
 
-  /** Records the first piece of a stream; {@link #onEnded} is to follow. */
-  void onFirstPiece(String service, long now) {
-    state(service).ifPresent(state -> state.onFirstPiece(now));
+  /** Takes back the start of a request that was admitted but found no target. */
+  void onNotSent(String service) {
+    Optional.ofNullable(states.get(service)).ifPresent(ServiceState::onNotSent);
+  }
+
+  /**
+   * Records the first piece of a stream.
+   *
+   * @return whether the stream is counted, so that {@link #onEnded} is to follow
+   */
+  boolean onFirstPiece(String service, long now) {
+    Optional<ServiceState> state = state(service);
+    state.ifPresent(each -> each.onFirstPiece(now));
+    return state.isPresent();
   }
 
   /**
@@ -326,6 +337,10 @@
       control.onFurtherStart(now);
     }
 
+    synchronized void onNotSent() {
+      control.onNotSent();
+    }
+
     synchronized void onFirstPiece(long now) {
       capacity.onFirstPiece(now);
     }
