--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -1,5 +1,6 @@
 package dev.ibishub.core.serving;
 
+import dev.ibishub.core.serving.admission.ServiceLoad;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -273,6 +274,29 @@
     return report.requests() + sentSinceReport.size();
   }
 
+  /** Returns the age of the target's report, milliseconds; 0 without a recent report. */
+  synchronized long reportAgeMillis(long now) {
+    return hasReport(now) ? Math.max(0, now - report.measuredAt()) : 0;
+  }
+
+  /**
+   * Adds the target to the load of its service, unless it accepts no requests now. The figure is
+   * that of the latest report, without requests sent since.
+   *
+   * @param entries see {@link #requests}
+   */
+  public synchronized void addTo(ServiceLoad.Sum sum, long now, int entries) {
+    if (isClosed(now) || isBackingOff(now) || isSuspended(now)) {
+      return;
+    }
+    if (hasReport(now)) {
+      sum.add(report.requests(), now - report.measuredAt());
+      report.step().ifPresent(step -> sum.addStep(step, report.measuredAt()));
+    } else {
+      sum.add((double) ownInFlight * Math.max(1, entries), 0);
+    }
+  }
+
   /** Returns the penalty for failures and slowness when targets are compared, in requests. */
   public synchronized double penalty(long now) {
     double slowness = Math.max(0, report.slowdown() - USUAL_SLOWDOWN) * SLOWNESS_COST;
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
@@ -226,7 +227,13 @@
   private void reportRank(String id, boolean isOpen, long at) {
     directory.onReport(
         "10.0.1." + id,
-        new TargetReport(0, 1, isOpen, at, Optional.of(new TargetReport.GroupMembership("g", 1))));
+        new TargetReport(
+            0,
+            1,
+            isOpen,
+            at,
+            Optional.of(new TargetReport.GroupMembership("g", 1)),
+            OptionalLong.empty()));
   }
 
   private List<TargetLoad> usableLoads() {
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -8,15 +8,18 @@
 import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
+import dev.ibishub.gateway.front.AdmissionMode;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.CrashDetector;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
 import dev.ibishub.gateway.front.RetryBudgets;
+import dev.ibishub.gateway.front.ServiceAdmission;
 import dev.ibishub.gateway.front.ServiceStatistics;
 import dev.ibishub.gateway.front.TargetDirectory;
 import dev.ibishub.gateway.front.TargetLimits;
@@ -103,6 +106,7 @@
   private final RankPaths paths;
   private final GracefulStop stop;
   private final RetryBudgets budgets;
+  private final ServiceAdmission admission;
   private final long startedAt = MonotonicClock.millis();
   private volatile boolean isListening;
   private volatile boolean isAnnounced;
@@ -130,6 +134,7 @@
             startedAt,
             settings.isFirstStart(),
             PrometheusRegistry.defaultRegistry);
+    admission = newAdmission();
     store =
         new StoreClient(
             httpClient, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
@@ -167,6 +172,17 @@
         settings.processId(), "entry", settings.zone(), ThreadLocalRandom.current().nextLong());
   }
 
+  private ServiceAdmission newAdmission() {
+    return new ServiceAdmission(
+        AdmissionMode.of(settings.admission()),
+        configuration::get,
+        targets,
+        () -> mesh().entries(MonotonicClock.millis()),
+        stop,
+        WorkspaceShares.EQUAL,
+        PrometheusRegistry.defaultRegistry);
+  }
+
   private PeerMesh newMesh() {
     return new PeerMesh(
         new PeerMesh.Self(
@@ -204,6 +220,7 @@
             new ServiceStatistics(),
             crashes,
             limits,
+            admission,
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
@@ -259,6 +276,7 @@
     configurationTurns = configurationTurns(changed);
     budgets.change(retryLimits(changed));
     stop.updateSettings(changed);
+    admission.change(AdmissionMode.of(changed.admission()));
     addHosts(changed.seeds().stream().map(SocketAddresses::host).toList());
   }
 
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -31,6 +31,8 @@
  * @param configurationMillis the time within which a published configuration must be in force at
  *     all entries, milliseconds
  * @param storeReadsPerSecond the reads per second that the store accepts from all entries together
+ * @param admission for which services requests are subject to admission: {@code automatic}, {@code
+ *     on} or {@code off}
  * @param metricsPort the port for metrics; 0 for no metrics
  * @param isFirstStart whether the whole system starts for the first time
  * @param coldOverrun the factor by which one second may exceed the rate that a cold target
@@ -56,6 +58,7 @@
     int retryWindowSeconds,
     double configurationMillis,
     double storeReadsPerSecond,
+    String admission,
     int metricsPort,
     boolean isFirstStart,
     double coldOverrun,
@@ -123,6 +126,11 @@
                   1_000_000,
                   "Reads that the store accepts from all entries together.")
               .defaultingTo(6_000.0),
+          Key.text(
+                  "admission",
+                  TextFormats.oneOf("automatic", "on", "off"),
+                  "Whether requests for engines may wait or be refused by their urgency.")
+              .defaultingTo("automatic"),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
           Key.flag(
                   "firstStart",
@@ -214,6 +222,7 @@
         retryWindowSeconds,
         configurationMillis,
         storeReadsPerSecond,
+        admission,
         other.metricsPort,
         isFirstStart,
         coldOverrun,
@@ -254,6 +263,7 @@
         root.integer("retryWindowSeconds"),
         root.number("configurationMillis"),
         root.number("storeReadsPerSecond"),
+        root.text("admission"),
         root.integer("metricsPort"),
         root.flag("firstStart"),
         root.number("coldOverrun"),
