Refuse or send at once by default, and wait for admission only where set

Change: with the setting automatic requests are sent or refused at once by thresholds of urgency; the new value queue lets them wait as well.

--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
@@ -44,7 +44,7 @@
    */
   private static final double AMPLE_AGES = 2;
 
-  private final AdmissionPolicy policy;
+  private AdmissionPolicy policy;
   private final CapacityEstimate capacity;
   private final WorkspaceShares shares;
   private final StartCredit credit = new StartCredit();
@@ -76,6 +76,11 @@
     this.shares = shares;
   }
 
+  /** Replaces the policy; it applies to requests that wait, too. */
+  public void changePolicy(AdmissionPolicy newPolicy) {
+    policy = newPolicy;
+  }
+
   public CapacityEstimate capacity() {
     return capacity;
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AdmissionScope.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AdmissionScope.java
@@ -40,7 +40,7 @@
   private static boolean isSubject(Service service, List<Route> routes, AdmissionMode mode) {
     boolean hasTiming = service.engine().map(engine -> engine.statesPassTime()).orElse(false);
     return switch (mode) {
-      case AUTOMATIC -> hasTiming && areDifferent(routes);
+      case AUTOMATIC, QUEUE -> hasTiming && areDifferent(routes);
       case ON -> hasTiming;
       case OFF -> false;
     };
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ServiceAdmission.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ServiceAdmission.java
@@ -94,6 +94,7 @@
   public void change(AdmissionMode newMode) {
     mode = newMode;
     scope = Optional.empty();
+    states.values().forEach(state -> state.changePolicy(newMode.policy()));
   }
 
   /** Whether requests for a service are subject to admission. */
@@ -229,7 +230,11 @@
       this.service = service;
       this.timing = timing;
       capacity = new CapacityEstimate(timing);
-      control = new AdmissionControl<>(new AdmissionPolicy(true), capacity, shares);
+      control = new AdmissionControl<>(mode.policy(), capacity, shares);
+    }
+
+    synchronized void changePolicy(AdmissionPolicy newPolicy) {
+      control.changePolicy(newPolicy);
     }
 
     synchronized void changeTiming(EngineTiming newTiming) {
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -31,8 +31,8 @@
  * @param configurationMillis the time within which a published configuration must be in force at
  *     all entries, milliseconds
  * @param storeReadsPerSecond the reads per second that the store accepts from all entries together
- * @param admission for which services requests are subject to admission: {@code automatic}, {@code
- *     on} or {@code off}
+ * @param admission for which services requests are subject to admission, and whether they may wait:
+ *     {@code automatic}, {@code queue}, {@code on} or {@code off}
  * @param metricsPort the port for metrics; 0 for no metrics
  * @param isFirstStart whether the whole system starts for the first time
  * @param coldOverrun the factor by which one second may exceed the rate that a cold target
@@ -128,8 +128,8 @@
               .defaultingTo(6_000.0),
           Key.text(
                   "admission",
-                  TextFormats.oneOf("automatic", "on", "off"),
-                  "Whether requests for engines may wait or be refused by their urgency.")
+                  TextFormats.oneOf("automatic", "queue", "on", "off"),
+                  "Whether requests for engines are refused, or wait, by their urgency.")
               .defaultingTo("automatic"),
           CommonKeys.port("metricsPort", "Port for metrics; 0 for none.").defaultingTo(0L),
           Key.flag(
