Let tests of waits for admission fail where nothing is sent or withdrawn

Cause: two tests passed even if the request was never sent or its place never freed, as it became overdue after 60 s and a closed socket was looked for at the wrong end. Change: the target has to receive the request; the wait has to end as withdrawn.

--- a/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
@@ -59,6 +59,7 @@
           new CallerLimits(600, 100, 300, 60_000));
   private volatile boolean isLeaving;
   private ServerSocket target;
+  private final PrometheusRegistry registry = new PrometheusRegistry();
   private ServiceAdmission admission;
   private CallerServer server;
   private int port;
@@ -106,7 +107,7 @@
             () -> 1,
             new Stop(),
             WorkspaceShares.EQUAL,
-            new PrometheusRegistry());
+            registry);
     server =
         new CallerServer(
             new RequestContext(
@@ -163,11 +164,20 @@
   }
 
   private static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadline = MonotonicClock.millis() + TIMEOUT_MILLIS;
     while (!condition.getAsBoolean()) {
+      assertThat(MonotonicClock.millis()).as("time-out").isLessThan(deadline);
       Thread.sleep(5);
     }
   }
 
+  /** Whether a wait has ended in a way, as the metric counts it. */
+  private boolean hasWaitEnded(String outcome) {
+    return registry.scrape(name -> name.startsWith("ibishub_admission_waits")).stream()
+        .flatMap(metric -> metric.getDataPoints().stream())
+        .anyMatch(point -> outcome.equals(point.getLabels().get("outcome")));
+  }
+
   /** Sends requests until one waits, and returns its caller. */
   private Socket sendUntilOneWaits() throws IOException, InterruptedException {
     Socket caller = send("/later/0");
@@ -183,8 +193,12 @@
   void waitingRequestIsSentOnceTargetHasRoom() throws IOException, InterruptedException {
     try (Socket caller = sendUntilOneWaits()) {
       report(0);
-      await(() -> admission.waiting("s") == 0);
-      assertThat(caller.isClosed()).isFalse();
+      try (Socket sent = target.accept()) {
+        byte[] begin = sent.getInputStream().readNBytes("POST /later/".length());
+        assertThat(new String(begin, StandardCharsets.US_ASCII)).isEqualTo("POST /later/");
+      }
+      assertThat(caller.isConnected()).isTrue();
+      assertThat(hasWaitEnded("sent")).isTrue();
     }
   }
 
@@ -194,7 +208,7 @@
     Socket caller = sendUntilOneWaits();
     caller.close();
 
-    await(() -> admission.waiting("s") == 0);
+    await(() -> hasWaitEnded("withdrawn"));
     assertThat(admission.waiting("s")).isZero();
   }
 
