--- a/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedRetryBudget.java
@@ -20,8 +20,7 @@
    * The share of the allowance that is used. If all entries restart at once, their predecessors
    * have spent this share and they spend half of it again, as they count each entry twice: six
    * tenths of the allowance. The rest is a margin for requests that earn retries before and after a
-   * restart; with a share of 0.5, three entries that all restart at once exceeded the budget by 7
-   * retries.
+   * restart.
    */
   private static final double USED_ALLOWANCE_SHARE = 0.4;
 
--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
@@ -34,7 +34,7 @@
   /**
    * Time for which arrivals of more urgent requests are left room for, in ages of the reports: one
    * until their sends are reported, and one more until entries that react to these reports have an
-   * effect. In the model, 0 and 1 let 6 and 3 in 100 more of the most urgent requests come late.
+   * effect.
    */
   private static final double RESERVE_AGES = 2;
 
