Let returning callers wait under the default admission rule

Cause: callers return once. Those refused early in a standstill returned before its end, or while the credit was spent, and were refused again at once, although a slot came free before they would have left.

Change: requests of returning callers wait until they are sent or can't be served any more, except in the least urgent class, where they would delay new ones that can still be in time.

Evidence: serviceWithoutWaitingIsWholeSoonAfterGroupStoodStill plays the check of the queue on the rule that applies by default, with standstills of 1, 2 and 4 s before, in and after the burst.

--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionControl.java
@@ -148,7 +148,8 @@
     boolean isStalled = capacity.isStalled(load, now);
     double passMillis = capacity.passMillis(now);
     for (AdmissionQueue.Waiting<T> each : queue.all()) {
-      if (isStalled && !policy.mayWaitForProgress(each.request())) {
+      if (isStalled
+          && !policy.mayWaitForProgress(each.request(), isLeastUrgent(each.request().priority()))) {
         due.add(refused(each, Decision.Reason.STALLED, now, random));
       } else if (now > policy.latestStart(each.request(), passMillis)) {
         due.add(refused(each, Decision.Reason.OVERDUE, now, random));
@@ -201,7 +202,8 @@
         neededCredit(request.priority()),
         Math.max(own.startsPerSecond(), own.endsPerSecond() / own.entries()),
         urgentPerSecond,
-        ahead);
+        ahead,
+        isLeastUrgent(request.priority()));
   }
 
   /**
--- a/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionPolicy.java
+++ b/core/src/main/java/dev/ibishub/core/serving/admission/AdmissionPolicy.java
@@ -6,7 +6,8 @@
  * Decides for a request that arrives at an entry whether it is sent, waits or is refused.
  * Immutable.
  *
- * @param mayWait whether requests may wait at the entry; if not, they are sent or refused at once
+ * @param mayWait whether all requests may wait at the entry; if not, only those of returning
+ *     callers may, and others are sent or refused at once
  */
 public record AdmissionPolicy(boolean mayWait) {
   /**
@@ -31,6 +32,7 @@
    * @param startsPerSecond rate at which this entry may start requests of this or a higher urgency
    * @param urgentPerSecond rate at which more urgent requests arrive at this entry
    * @param ahead number of waiting requests that would be started before this one
+   * @param isLeastUrgent whether no requests are less urgent than this one
    */
   public record Situation(
       boolean isStalled,
@@ -39,7 +41,8 @@
       double needed,
       double startsPerSecond,
       double urgentPerSecond,
-      int ahead) {
+      int ahead,
+      boolean isLeastUrgent) {
 
     /** Whether a request may be sent now. */
     boolean maySend() {
@@ -60,7 +63,7 @@
    * @param random a random number from 0 to below 1, uniformly distributed
    */
   public Decision decide(AdmissionRequest request, Situation situation, long now, double random) {
-    if (situation.isStalled() && !mayWaitForProgress(request)) {
+    if (situation.isStalled() && !mayWaitForProgress(request, situation.isLeastUrgent())) {
       return refusal(request, Decision.Reason.STALLED, now, random);
     }
     if (situation.maySend() && !situation.isStalled()) {
@@ -68,17 +71,26 @@
     }
     double waitMillis = situation.waitMillis();
     boolean isInTime = now + waitMillis <= latestStart(request, situation.passMillis());
-    return mayWait && isInTime
+    return isInTime && mayWait(request, situation.isLeastUrgent())
         ? new Decision.Wait((long) waitMillis)
         : refusal(request, Decision.Reason.TOO_LATE, now, random);
   }
 
   /**
-   * Whether a request may wait while the engines stand still: only one that was refused before, as
-   * its caller does not return a second time.
+   * Whether a request may wait for its turn. A request that was refused before may do so in any
+   * case, as its caller does not return a second time; but not in the least urgent class, whose
+   * returning callers would delay new ones that can still be in time.
    */
-  boolean mayWaitForProgress(AdmissionRequest request) {
-    return mayWait && request.isReturning();
+  private boolean mayWait(AdmissionRequest request, boolean isLeastUrgent) {
+    return mayWait || (request.isReturning() && !isLeastUrgent);
+  }
+
+  /**
+   * Whether a request may wait while the engines stand still, for an unknown time: only one that
+   * was refused before.
+   */
+  boolean mayWaitForProgress(AdmissionRequest request, boolean isLeastUrgent) {
+    return request.isReturning() && mayWait(request, isLeastUrgent);
   }
 
   /** Returns until when a request has to be sent for its first piece to be in time. */
--- a/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionModelTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/admission/AdmissionModelTest.java
@@ -8,6 +8,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -119,6 +120,35 @@
     assertMostUrgentFirst(model);
   }
 
+  // Guards against callers of the most urgent class that come late, or are lost, after a standstill
+  // under the rule that applies by default, which sends or refuses at once.
+  @ParameterizedTest
+  @CsvSource({
+    "1, 5000, 9000",
+    "2, 5000, 9000",
+    "3, 5000, 9000",
+    "1, 5000, 6000",
+    "2, 5000, 7000",
+    "3, 1000, 3000",
+    "1, 9500, 11500",
+    "2, 13000, 15000"
+  })
+  void serviceWithoutWaitingIsWholeSoonAfterGroupStoodStill(long seed, long from, long until) {
+    EngineGroupModel model =
+        run(
+            seed,
+            AdmissionModelTest::thresholds,
+            burst(time -> USUAL_SKEW, time -> time >= from && time < until));
+
+    long wholeFrom = Math.max(BURST_UNTIL, until) / 1_000 + RECOVERY_SECONDS;
+    EngineGroupModel.Tally after = model.since(wholeFrom, "guidance");
+    assertThat(after.inTimeShare()).isGreaterThan(0.95);
+    assertThat(after.servedShare()).isGreaterThan(0.99);
+    assertThat(guidance(model).left).isLessThan(150);
+    assertThat(guidance(model).refusedAgain).isLessThan(5);
+    assertMostUrgentFirst(model);
+  }
+
   // Guards against refusing what a short wait would have served: without waiting at the entry, more
   // requests of the least urgent class were refused, and more of the most urgent one.
   @ParameterizedTest
--- a/core/src/test/java/dev/ibishub/core/serving/admission/EngineGroupModel.java
+++ b/core/src/test/java/dev/ibishub/core/serving/admission/EngineGroupModel.java
@@ -23,6 +23,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * Entries, callers and one group of engines in lock-step, in virtual time of one millisecond a
@@ -74,6 +75,14 @@
     int refusedOnce;
     int refusedAgain;
 
+    private void add(Tally other) {
+      arrived += other.arrived;
+      inTime += other.inTime;
+      late += other.late;
+      refused += other.refused;
+      left += other.left;
+    }
+
     double inTimeShare() {
       return arrived == 0 ? 1 : (double) inTime / arrived;
     }
@@ -307,6 +316,16 @@
     return -mean * Math.log(1 - arrivalRandom.nextDouble());
   }
 
+  /** Returns what the callers of a class got that arrived in the given second or later. */
+  Tally since(long second, String kind) {
+    Tally sum = new Tally();
+    bySecond.entrySet().stream()
+        .filter(each -> each.getKey() >= second)
+        .flatMap(each -> Stream.ofNullable(each.getValue().get(kind)))
+        .forEach(sum::add);
+    return sum;
+  }
+
   private Tally second(Call call) {
     return bySecond
         .computeIfAbsent(call.firstArrivedAt / 1_000, key -> new TreeMap<>())
