Back off before an entry writes its own record again

What happens: while the store rejects an entry's own record, the entry wrote it again at each tick, every 25 to 100 ms. 58 entries that are rejected make 2,320 calls a second, where the store accepts 1,200; what it then rejects are other callers' writes, too.

Cause: a retry without back-off.

Change: EntryAnnouncement backs off for 1 to 2 s with jitter, and for twice as long after each further failure, up to 16 s.

Evidence: EntryAnnouncementTest, seen failing with the back-off switched off: 1,400 calls in a second of 35 entries (1,200 allowed), 2,320 of 58 (1,200), 14,800 of 370 (400).

--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -1,7 +1,6 @@
 package dev.ibishub.node;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
 import dev.ibishub.core.entries.ReadTurns;
 import dev.ibishub.core.entries.RememberedEntries;
 import dev.ibishub.core.serving.ColdLimit;
@@ -95,7 +94,7 @@
   private final TargetDirectory targets;
   private final CurrentEvacuations evacuations;
   private final NodeMetrics metrics;
-  private final StoreClient store;
+  private final EntryAnnouncement announcement;
   private final StoreTopics topics;
   private final PeerMesh mesh;
   private final WireTransport transport;
@@ -109,7 +108,6 @@
   private final ServiceAdmission admission;
   private final long startedAt = MonotonicClock.millis();
   private volatile boolean isListening;
-  private volatile boolean isAnnounced;
 
   private EntryNode(NodeSettings settings) {
     this.settings = settings;
@@ -135,9 +133,10 @@
             settings.isFirstStart(),
             PrometheusRegistry.defaultRegistry);
     admission = newAdmission();
-    store =
+    StoreClient store =
         new StoreClient(
             httpClient, storeAddress.getHostString(), storeAddress.getPort(), metrics::onStoreCall);
+    announcement = new EntryAnnouncement(store, settings.processId(), settings.host());
     topics =
         new StoreTopics(
             store,
@@ -359,7 +358,9 @@
       }
       loads.tick(collects, now);
       topics.tick(now, turn, entries);
-      announce();
+      if (isReady()) {
+        announcement.tick();
+      }
     } catch (RuntimeException e) {
       logger.atSevere().withCause(e).log("%s", LogEvent.of("tick.failed"));
     }
@@ -421,27 +422,6 @@
     metrics.onEvacuatedZones(evacuations.count());
   }
 
-  /** Writes this entry's address to the store once, for entries that share no seed with it. */
-  private void announce() {
-    if (isAnnounced || !isReady()) {
-      return;
-    }
-    isAnnounced = true;
-    store
-        .append(
-            StoreClient.ENTRIES_TOPIC,
-            settings.processId(),
-            ByteString.copyFromUtf8(settings.host()).toByteArray())
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                isAnnounced = false;
-                logger.atInfo().log(
-                    "%s", LogEvent.of("entry.not_announced").with("cause", failure));
-              }
-            });
-  }
-
   private void onLoads(LoadReports reports) {
     loads.onPeerReports(reports, MonotonicClock.millis());
   }
