Test turns that are passed to entries that have just gone

Provokes the fix of the late configuration where it was untried: the first one to four readers are rejected, and the one to three after them stand still, get no response, are cut off or restart, at every fourth of a long poll from 1 s before to 1 s after the first rejection; the version is published at the rejection, and 0.5 and 1 s later.

--- a/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
+++ b/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleet.java
@@ -329,17 +329,26 @@
 
   /** Plays the faults and the publication of one version to the end. */
   ReadTurnsFleet play(Plan plan, long publishAt) {
-    return run(plan, publishAt, () -> false);
+    return run(List.of(plan), publishAt, () -> false);
   }
 
   /** Plays the faults and the publication of one version until it is in force where it can be. */
   ReadTurnsFleet playUntilInForce(Plan plan, long publishAt) {
-    return run(plan, publishAt, () -> now > plan.from() && lateness() < END_MILLIS);
+    return playUntilInForce(List.of(plan), publishAt);
   }
 
-  private ReadTurnsFleet run(Plan plan, long publishAt, BooleanSupplier isDone) {
-    after(
-        plan.from(), () -> plan.faulty().forEach(index -> entries.get(index).begin(plan.fault())));
+  /** Plays the faults and the publication of one version until it is in force where it can be. */
+  ReadTurnsFleet playUntilInForce(List<Plan> plans, long publishAt) {
+    long last = plans.stream().mapToLong(Plan::from).max().orElse(0);
+    return run(plans, publishAt, () -> now > last && lateness() < END_MILLIS);
+  }
+
+  private ReadTurnsFleet run(List<Plan> plans, long publishAt, BooleanSupplier isDone) {
+    plans.forEach(
+        plan ->
+            after(
+                plan.from(),
+                () -> plan.faulty().forEach(index -> entries.get(index).begin(plan.fault()))));
     after(publishAt, this::publish);
     while (!events.isEmpty() && events.peek().at() <= END_MILLIS && !isDone.getAsBoolean()) {
       Event event = events.poll();
--- a/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleetTest.java
+++ b/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleetTest.java
@@ -26,6 +26,7 @@
   private static final int LATEST_PUBLISHED_AFTER_FAULT_MILLIS = 3_500;
   private static final int EARLIEST_PUBLISHED_BEFORE_FAULT_MILLIS = 1_200;
   private static final int SEEDS = 10;
+  private static final long QUARTER_TURN_MILLIS = 250;
   private static final int SAMPLES = 20;
   private static final long SAMPLE_STEP_MILLIS = 170;
 
@@ -106,6 +107,62 @@
         .isLessThanOrEqualTo((long) READS_PER_SECOND);
   }
 
+  // Guards against a version that is late because a rejected reader passes its turn to an entry
+  // that
+  // has just gone, at any moment of the turn, with the version published as the first is rejected
+  // or while the turn is lost.
+  @ParameterizedTest
+  @CsvSource({
+    "3, PAUSED",
+    "6, PAUSED",
+    "22, PAUSED",
+    "48, PAUSED",
+    "3, SILENT",
+    "6, SILENT",
+    "22, SILENT",
+    "48, SILENT",
+    "3, RESTARTED",
+    "6, RESTARTED",
+    "22, RESTARTED",
+    "48, RESTARTED",
+    "6, CUT_OFF",
+    "48, CUT_OFF"
+  })
+  void versionIsInForceInTimeThoughTurnIsPassedToEntryThatIsGone(int size, Fault gone) {
+    ALLOWED_MILLIS.forEach(
+        allowed -> {
+          Design design = new Design(ReadTurns.within(allowed, READS_PER_SECOND), true);
+          LongStream.rangeClosed(1, SEEDS)
+              .forEach(seed -> playTurnsPassedToEntryThatIsGone(size, allowed, design, gone, seed));
+        });
+  }
+
+  private static void playTurnsPassedToEntryThatIsGone(
+      int size, long allowed, Design design, Fault gone, long seed) {
+    Random random = new Random(seed);
+    int rejected = 1 + random.nextInt(Math.min(4, size - 2));
+    int lost = 1 + random.nextInt(Math.min(3, size - rejected - 1));
+    Plan rejection =
+        new Plan(Fault.REJECTED, IntStream.range(0, rejected).boxed().toList(), FAULT_FROM_MILLIS);
+    for (long goneFrom = -1_000; goneFrom <= 1_000; goneFrom += QUARTER_TURN_MILLIS) {
+      Plan loss =
+          new Plan(
+              gone,
+              IntStream.range(rejected, rejected + lost).boxed().toList(),
+              FAULT_FROM_MILLIS + goneFrom);
+      for (long published : List.of(0L, 500L, 1_000L)) {
+        ReadTurnsFleet fleet =
+            new ReadTurnsFleet(size, design, seed)
+                .playUntilInForce(List.of(rejection, loss), FAULT_FROM_MILLIS + published);
+        assertThat(fleet.lateness())
+            .as(
+                "%d entries, %d ms allowed, %s, %s, published %d ms after, seed %d",
+                size, allowed, rejection, loss, published, seed)
+            .isLessThanOrEqualTo(allowed);
+      }
+    }
+  }
+
   private record Figures(long lateness, double callsPerSecond, long mostCallsInSecond) {
     Figures worst(Figures other) {
       return new Figures(
