Wait for a share of cold targets after a loss of power

Cause: restarted engines are cold for 4 s. An entry that has just started has no share of their limits for 1.5 s after it first hears another, and none for 2 s at engines that it counts as in use. Requests that had waited for the group to open were then refused, with a time to return beyond the end of the limit.

Change: a request for which only cold targets have room waits for its share as it waits for a group that opens, within the same time for both. What the limits allow is unchanged.

AdmissionFrontTest.requestWaitsForShareOfColdTargets failed with Exchange as before and passes now.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -54,12 +54,12 @@
 
   /**
    * Divisor of the time between a request's arrival and its deadline; the result is the longest
-   * wait for a group of ranks that is about to open.
+   * wait for engines that are about to accept requests.
    */
-  private static final long FORMING_WAIT_DIVISOR = 8;
+  private static final long ENGINE_WAIT_DIVISOR = 8;
 
-  /** Interval between checks of a group that is about to open, milliseconds. */
-  private static final long FORMING_CHECK_MILLIS = 60;
+  /** Interval between checks of engines that are about to accept requests, milliseconds. */
+  private static final long ENGINE_CHECK_MILLIS = 60;
 
   private final RequestContext context;
   private final EventLoop loop;
@@ -95,7 +95,7 @@
   private boolean isAdmitted;
 
   /** When the wait for a group that is about to open ends, on the monotonic clock, milliseconds. */
-  private long groupWaitUntil = Long.MAX_VALUE;
+  private long engineWaitUntil = Long.MAX_VALUE;
 
   private boolean isOver;
 
@@ -202,8 +202,8 @@
     }
     List<TargetDirectory.ListedTarget> usable = context.targets().usable(routed.service());
     List<TargetLoad> loads = usable.stream().map(TargetDirectory.ListedTarget::load).toList();
-    if (TargetChoice.areForming(loads, now) && mayWaitForGroup(now)) {
-      loop.schedule(this::sendUnlessOver, FORMING_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    if (TargetChoice.areForming(loads, now) && mayWaitForEngines(now)) {
+      checkEnginesLater();
       return;
     }
     boolean isClosed = TargetChoice.areClosed(loads, now);
@@ -213,11 +213,13 @@
     }
     Optional<TargetDirectory.ListedTarget> chosen =
         isClosed ? Optional.empty() : choose(usable, now);
-    if (chosen.isEmpty()) {
+    if (chosen.isPresent()) {
+      startAttempt(chosen.get(), now);
+    } else if (!isClosed && isWithheldFromColdTargets(usable, now) && mayWaitForEngines(now)) {
+      checkEnginesLater();
+    } else {
       onNoTarget(loads, isClosed, now);
-      return;
     }
-    startAttempt(chosen.get(), now);
   }
 
   /**
@@ -261,14 +263,29 @@
     }
   }
 
-  /** Whether the wait for a group that is about to open may go on. */
-  private boolean mayWaitForGroup(long now) {
+  private void checkEnginesLater() {
+    loop.schedule(this::sendUnlessOver, ENGINE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Whether the wait for engines that are about to accept requests may go on. */
+  private boolean mayWaitForEngines(long now) {
     long formationTimeoutMillis =
         routed.engine().map(EngineProfile::formationTimeoutMillis).orElse(0L);
     long patience =
-        Math.min(formationTimeoutMillis, (routed.deadline() - arrivedAt) / FORMING_WAIT_DIVISOR);
-    groupWaitUntil = Math.min(groupWaitUntil, now + patience);
-    return now < groupWaitUntil;
+        Math.min(formationTimeoutMillis, (routed.deadline() - arrivedAt) / ENGINE_WAIT_DIVISOR);
+    engineWaitUntil = Math.min(engineWaitUntil, now + patience);
+    return now < engineWaitUntil;
+  }
+
+  /**
+   * Whether only cold targets have room, and none may get this request yet. After a loss of power
+   * all engines are cold, while the entries, which have just started too, have no share of their
+   * limits for the first second or two.
+   */
+  private boolean isWithheldFromColdTargets(List<TargetDirectory.ListedTarget> usable, long now) {
+    return TargetDirectory.choose(choice(now), usable, tried, context.targets().ownZone(), now)
+        .filter(target -> target.load().isCold(now))
+        .isPresent();
   }
 
   private void startAttempt(TargetDirectory.ListedTarget target, long now) {
@@ -311,22 +328,24 @@
 
   private Optional<TargetDirectory.ListedTarget> choose(
       List<TargetDirectory.ListedTarget> usable, long now) {
+    List<TargetDirectory.ListedTarget> allowed =
+        usable.stream()
+            .filter(target -> context.targetLimits().allows(target.target().incarnation(), now))
+            .toList();
+    return TargetDirectory.choose(choice(now), allowed, tried, context.targets().ownZone(), now);
+  }
+
+  private TargetChoice choice(long now) {
     double maximumRequests =
         routed
             .engine()
             .map(profile -> profile.slots() + queueLimit(profile))
             .map(Integer::doubleValue)
             .orElse(Double.MAX_VALUE);
-    TargetChoice choice =
-        context
-            .admission()
-            .choice(routed.service(), maximumRequests, now)
-            .orElseGet(() -> new TargetChoice(context.entries().getAsInt(), maximumRequests));
-    List<TargetDirectory.ListedTarget> allowed =
-        usable.stream()
-            .filter(target -> context.targetLimits().allows(target.target().incarnation(), now))
-            .toList();
-    return TargetDirectory.choose(choice, allowed, tried, context.targets().ownZone(), now);
+    return context
+        .admission()
+        .choice(routed.service(), maximumRequests, now)
+        .orElseGet(() -> new TargetChoice(context.entries().getAsInt(), maximumRequests));
   }
 
   /**
--- a/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.serving.ColdLimit;
 import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.core.serving.RetryLimits;
@@ -19,6 +20,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -28,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -39,16 +42,18 @@
   private static final int TIMEOUT_MILLIS = 60_000;
   private static final int SLOTS = 2;
 
+  /** Long enough that requests still wait for engines when a slow machine runs the test. */
+  private static final int CALLER_TIMEOUT_MILLIS = 600_000;
+
   /** Reports of this age never expire during a test. */
   private static final long FUTURE_MILLIS = 3_600_000;
 
   private static final EngineProfile ENGINE =
-      new EngineProfile(SLOTS, 6, 0.6, 6, 120, 800, 60, 0, 0, 0, 0, 0, 0, 0.5, 600);
+      new EngineProfile(SLOTS, 6, 0.6, 6, 120, 800, 60, 0, 0, 0, 0, 0, 0, 0.5, TIMEOUT_MILLIS);
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final CrashDetector crashes = new CrashDetector(any -> {});
-  private final TargetDirectory targets = new TargetDirectory("z");
   private final ServingConfiguration configuration =
       ServingConfiguration.of(
           1,
@@ -57,9 +62,17 @@
           Map.of(),
           false,
           new CallerLimits(600, 100, 300, 60_000));
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final TargetLimits limits =
+      new TargetLimits(
+          new SharedLimits("own", LimitDivision.amongFewHolders()),
+          any -> {},
+          service -> Optional.of(new ColdLimit(10, 1, 10)),
+          registry);
+  private final TargetDirectory targets =
+      new TargetDirectory("z", crashes::onIncarnationEnded, limits);
   private volatile boolean isLeaving;
   private ServerSocket target;
-  private final PrometheusRegistry registry = new PrometheusRegistry();
   private ServiceAdmission admission;
   private CallerServer server;
   private int port;
@@ -70,7 +83,7 @@
         "h",
         prefix,
         RequestKind.RESUMABLE_STREAM,
-        TIMEOUT_MILLIS,
+        CALLER_TIMEOUT_MILLIS,
         TIMEOUT_MILLIS,
         120,
         priority,
@@ -121,10 +134,7 @@
                     new PrometheusRegistry()),
                 new ServiceStatistics(),
                 crashes,
-                new TargetLimits(
-                    new SharedLimits("own", LimitDivision.amongFewHolders()),
-                    any -> {},
-                    new PrometheusRegistry()),
+                limits,
                 admission,
                 () -> 1,
                 new Stop(),
@@ -178,6 +188,13 @@
         .anyMatch(point -> outcome.equals(point.getLabels().get("outcome")));
   }
 
+  private double withheldFromColdTargets() {
+    return registry.scrape(name -> name.startsWith("ibishub_withheld")).stream()
+        .flatMap(metric -> ((CounterSnapshot) metric).getDataPoints().stream())
+        .mapToDouble(CounterSnapshot.CounterDataPointSnapshot::getValue)
+        .sum();
+  }
+
   /** Sends requests until one waits, and returns its caller. */
   private Socket sendUntilOneWaits() throws IOException, InterruptedException {
     Socket caller = send("/later/0");
@@ -202,6 +219,27 @@
     }
   }
 
+  // Guards against callers that are refused after a loss of power, when all engines are cold and
+  // the
+  // entry, which has just started, has no share of their limits yet.
+  @Test
+  void requestWaitsForShareOfColdTargets() throws IOException, InterruptedException {
+    Target cold =
+        new Target("t", "s", LOOPBACK.getHostAddress(), target.getLocalPort(), "z", SLOTS, false, 1)
+            .withColdRemainingMillis(FUTURE_MILLIS);
+    targets.onAnnounced(cold, 2);
+    report(0);
+    try (Socket caller = send("/later/0")) {
+      await(() -> withheldFromColdTargets() > 1);
+      limits.tickCold(Set.of("own"), MonotonicClock.millis());
+
+      try (Socket sent = target.accept()) {
+        assertThat(sent.getInputStream().read()).isEqualTo('P');
+      }
+      assertThat(caller.isConnected()).isTrue();
+    }
+  }
+
   // Guards against a request that is sent although its caller has left, and that holds a place.
   @Test
   void callerThatLeavesFreesItsPlace() throws IOException, InterruptedException {
