--- a/core/src/main/java/dev/ibishub/core/entries/BackOff.java
+++ b/core/src/main/java/dev/ibishub/core/entries/BackOff.java
@@ -8,6 +8,9 @@
 public final class BackOff {
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Enough for any back-off in use, and too few for an overflow. */
+  private static final int MOST_DOUBLINGS = 16;
+
   private final long shortestMillis;
   private final long longestMillis;
   private int failures;
@@ -42,10 +45,7 @@
    *     back-off is multiplied by it
    */
   public synchronized void onFailed(long now, double random) {
-    long full = shortestMillis;
-    for (int doubled = 0; doubled < failures && full < longestMillis; doubled++) {
-      full = Math.min(longestMillis, 2 * full);
-    }
+    long full = Math.min(longestMillis, shortestMillis << Math.min(failures, MOST_DOUBLINGS));
     long half = full / 2;
     retryAt = now + half + (long) (half * random);
     failures++;
--- a/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleetTest.java
+++ b/core/src/test/java/dev/ibishub/core/entries/ReadTurnsFleetTest.java
@@ -108,9 +108,7 @@
   }
 
   // Guards against a version that is late because a rejected reader passes its turn to an entry
-  // that
-  // has just gone, at any moment of the turn, with the version published as the first is rejected
-  // or while the turn is lost.
+  // that has just gone.
   @ParameterizedTest
   @CsvSource({
     "3, PAUSED",
