Let the test of a forming group wait for it whatever the order of events

Cause: the test's service has no engine, so no time in which a group forms, and its requests never wait. The test passed only where the report of the open group came before the request was read, and then showed nothing.

The service has an engine now that forms slowly, and the request is sent 100 ms before the group opens.

--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -12,7 +12,9 @@
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.model.CallerLimits;
+import dev.ibishub.gateway.model.EngineProfile;
 import dev.ibishub.gateway.model.Route;
+import dev.ibishub.gateway.model.Service;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.MonotonicClock;
@@ -395,12 +397,27 @@
     }
   }
 
+  private static ServingConfiguration withEnginesThatFormSlowly(ServingConfiguration current) {
+    EngineProfile engine =
+        new EngineProfile(2, 6, 0.6, 6, 120, 800, 60, 0, 0, 0, 0, 0, 0, 0.5, TIMEOUT_MILLIS);
+    return ServingConfiguration.of(
+        current.version() + 1,
+        List.of(route("/any/", RequestKind.IDEMPOTENT)),
+        Map.of("s", new Service("s", Optional.of(engine))),
+        Map.of(),
+        false,
+        CallerLimits.DEFAULTS);
+  }
+
   // Guards against refusing requests shortly before a group opens. While a group forms, all its
   // ranks are there and report that they are closed; it opens within a second.
   @Test
-  void requestWaitsForGroupThatIsAboutToOpen() throws IOException {
+  void requestWaitsForGroupThatIsAboutToOpen() throws IOException, InterruptedException {
+    configuration = configuration.map(FrontTest::withEnginesThatFormSlowly);
     targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, false, now()));
     try (Socket caller = send("GET /any/x HTTP/1.1\r\nHost: h\r\n\r\n")) {
+      // The request arrives while the group is closed.
+      Thread.sleep(100);
       targets.onReport(LOOPBACK.getHostAddress(), new TargetReport(0, 1, true, now()));
       respondAt("/any/x", OK);
 
