Log the prompt parts of failed attempts and how crash checks end

Which run of a crashed target was the cause could not be read from the logs: they had a digest of the whole request, not the parts of its prompt, nor whether its answer had begun, nor how the connection ended that asks whether the target's port is closed.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerRequest.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerRequest.java
@@ -1,5 +1,6 @@
 package dev.ibishub.gateway.front;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -11,6 +12,17 @@
  * @param waitMillis how long the caller waits for the response, milliseconds
  * @param key the workspace key that the caller shows
  * @param lastEventId the id of the last event of a stream that the caller received
+ * @param promptParts ids of the parts of its prompt that other requests may share; empty for a
+ *     request without a prompt
  */
 public record CallerRequest(
-    String attemptId, OptionalLong waitMillis, Optional<String> key, OptionalLong lastEventId) {}
+    String attemptId,
+    OptionalLong waitMillis,
+    Optional<String> key,
+    OptionalLong lastEventId,
+    List<String> promptParts) {
+  /** Copies the list of parts. */
+  public CallerRequest {
+    promptParts = List.copyOf(promptParts);
+  }
+}
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -77,6 +77,7 @@
         .addListener(
             (ChannelFuture connected) -> {
               connected.channel().close();
+              logCheck(run, connected.cause());
               if (isRefused(connected.cause())) {
                 onIncarnationEnded(run.targetIncarnation());
               }
@@ -154,6 +155,15 @@
             .with("crashes", quarantine.crashes(run.request())));
   }
 
+  private static void logCheck(CrashedRun run, Throwable cause) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("crash.checked")
+            .with("target_life", run.targetIncarnation())
+            .with("ran_ms", run.brokenAt() - run.sentAt())
+            .with("connect", cause == null ? "accepted" : cause.getClass().getSimpleName()));
+  }
+
   private static boolean isRefused(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -117,7 +117,7 @@
     this.response = response;
     this.onDone = onDone;
     this.caller = context.dialect().read(request);
-    this.log = new ExchangeLog(caller.attemptId(), arrivedAt, context.entries());
+    this.log = new ExchangeLog(caller, arrivedAt, context.entries());
   }
 
   void start() {
@@ -483,6 +483,7 @@
       log.attemptFailed(
           AttemptOutcome.BROKEN,
           "silent while other streams of the service make progress",
+          hasBegun(),
           true,
           sends);
       startAttempt(other.get(), now);
@@ -504,6 +505,10 @@
       return new CrashedRun(identity(), target.target().incarnation(), sentAt, now);
     }
 
+    private boolean hasBegun() {
+      return pieceAt.isPresent();
+    }
+
     private void endOthers() {
       List.copyOf(attempts).stream()
           .filter(other -> !other.equals(this))
@@ -616,7 +621,7 @@
       }
       runs += outcome.mayHaveRun() ? 1 : 0;
       lastFailure = failure.or(() -> lastFailure);
-      Runnable next = () -> onAttemptFailed(outcome, cause, isCallersFault);
+      Runnable next = () -> onAttemptFailed(outcome, cause, hasBegun(), isCallersFault);
       if (outcome == AttemptOutcome.BROKEN) {
         // A retry depends on whether the request crashed its target, which is checked first.
         long now = MonotonicClock.millis();
@@ -627,14 +632,15 @@
     }
   }
 
-  private void onAttemptFailed(AttemptOutcome outcome, String cause, boolean isCallersFault) {
+  private void onAttemptFailed(
+      AttemptOutcome outcome, String cause, boolean hasBegun, boolean isCallersFault) {
     if (isOver) {
       return;
     }
     boolean isOtherInFlight = !attempts.isEmpty();
     boolean isRetried =
         !isOtherInFlight && !isCallersFault && tryTakeRetry(outcome, runs, MonotonicClock.millis());
-    log.attemptFailed(outcome, cause, isRetried, sends);
+    log.attemptFailed(outcome, cause, hasBegun, isRetried, sends);
     if (isOtherInFlight) {
       return;
     }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ExchangeLog.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ExchangeLog.java
@@ -6,6 +6,7 @@
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import java.util.List;
 import java.util.function.IntSupplier;
 
 /**
@@ -17,14 +18,16 @@
 
   private final String attemptId;
   private final long arrivedAt;
+  private final List<String> promptParts;
   private final IntSupplier entries;
   private String route = "";
   private String service = "";
   private long configurationVersion;
   private TargetDirectory.ListedTarget target;
 
-  ExchangeLog(String attemptId, long arrivedAt, IntSupplier entries) {
-    this.attemptId = attemptId;
+  ExchangeLog(CallerRequest caller, long arrivedAt, IntSupplier entries) {
+    this.attemptId = caller.attemptId();
+    this.promptParts = caller.promptParts();
     this.arrivedAt = arrivedAt;
     this.entries = entries;
   }
@@ -72,7 +75,13 @@
     }
   }
 
-  void attemptFailed(AttemptOutcome outcome, String cause, boolean isRetried, int sends) {
+  /**
+   * Logs a failed attempt.
+   *
+   * @param hasBegun whether the target had begun its answer
+   */
+  void attemptFailed(
+      AttemptOutcome outcome, String cause, boolean hasBegun, boolean isRetried, int sends) {
     logger.atInfo().log(
         "%s",
         LogEvent.of("attempt.failed")
@@ -80,6 +89,8 @@
             .with("target", targetId())
             .with("outcome", outcome)
             .with("cause", cause)
+            .with("parts", String.join(",", promptParts))
+            .with("begun", hasBegun)
             .with("again", isRetried)
             .with("sends", sends)
             .with("after_ms", MonotonicClock.millis() - arrivedAt));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Stream;
@@ -22,7 +23,10 @@
         request.headers().get("id", ""),
         OptionalLong.empty(),
         Optional.empty(),
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        List.of(request.headers().get("parts", "").split(",")).stream()
+            .filter(part -> !part.isEmpty())
+            .toList());
   }
 
   @Override
