Quarantine prompt parts that crash targets, not only whole requests

Cause: a crash was remembered by a digest of the whole request. No two of these requests are alike, so none was ever quarantined. Retries added to it: one ended a second target 17 ms after the first.

Change: RequestQuarantine now decides on traits: the whole request as before, and the parts of its prompt. All parts of all requests that ran unanswered at a crashed target are suspected; an answer that begins clears the parts of its request at all entries. A part is quarantined after three successive crashes, or four overlapping ones, without an answer while others are answered. Meanwhile one request with a suspected part is under way at a time over all entries, and none is retried, hedged or resumed. Parts that always come together are quarantined together, so that a sound one is answered and set free. Trials are made by the leading entry alone, after 5, 50 and 500 minutes. Entries that start wait up to 0.8 s for what another one knows. Exchange asks CrashGuard.

RequestQuarantineTest: the calls follow the new types; a quarantine now ends by a trial of one entry, and the test also demands that other entries make none and that there is one at a time.

--- a/bench/src/main/java/dev/ibishub/bench/crashes/BlamePolicy.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/BlamePolicy.java
@@ -1,8 +1,10 @@
 package dev.ibishub.bench.crashes;
 
-import dev.ibishub.core.serving.CrashedRun;
-import dev.ibishub.core.serving.RequestIdentity;
-import dev.ibishub.core.serving.RequestQuarantine;
+import dev.ibishub.core.serving.crashes.CrashedRun;
+import dev.ibishub.core.serving.crashes.RequestIdentity;
+import dev.ibishub.core.serving.crashes.RequestQuarantine;
+import dev.ibishub.core.serving.crashes.RequestTraits;
+import dev.ibishub.core.serving.crashes.SendPermission;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +15,7 @@
  */
 interface BlamePolicy {
   /** Handles a run that ended with an answer. */
-  void onCompleted(RequestIdentity request);
+  void onCompleted(RequestIdentity request, long now);
 
   /** Handles a crash of a target, with all runs that were in flight there. */
   void onCrash(List<CrashedRun> inFlight);
@@ -33,13 +35,13 @@
     Map<RequestIdentity, Integer> counts = new HashMap<>();
     return new BlamePolicy() {
       @Override
-      public void onCompleted(RequestIdentity request) {
+      public void onCompleted(RequestIdentity request, long now) {
         counts.remove(request);
       }
 
       @Override
       public void onCrash(List<CrashedRun> inFlight) {
-        inFlight.forEach(run -> counts.merge(run.request(), 1, Integer::sum));
+        inFlight.forEach(run -> counts.merge(run.request().identity(), 1, Integer::sum));
       }
 
       @Override
@@ -54,8 +56,8 @@
     RequestQuarantine quarantine = new RequestQuarantine();
     return new BlamePolicy() {
       @Override
-      public void onCompleted(RequestIdentity request) {
-        quarantine.onCompleted(request);
+      public void onCompleted(RequestIdentity request, long now) {
+        quarantine.onCompleted(request, now);
       }
 
       @Override
@@ -68,7 +70,8 @@
 
       @Override
       public boolean isQuarantined(RequestIdentity request, long now) {
-        return quarantine.isQuarantined(request, now);
+        RequestTraits traits = new RequestTraits("", "", request, List.of());
+        return quarantine.permission(traits, true, now) == SendPermission.QUARANTINED;
       }
     };
   }
--- a/bench/src/main/java/dev/ibishub/bench/crashes/CrashRun.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/CrashRun.java
@@ -1,8 +1,9 @@
 package dev.ibishub.bench.crashes;
 
 import dev.ibishub.bench.model.EventQueue;
-import dev.ibishub.core.serving.CrashedRun;
-import dev.ibishub.core.serving.RequestIdentity;
+import dev.ibishub.core.serving.crashes.CrashedRun;
+import dev.ibishub.core.serving.crashes.RequestIdentity;
+import dev.ibishub.core.serving.crashes.RequestTraits;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -80,6 +81,10 @@
     return List.of(name, total, mostByOne, innocents, interruptedRuns, failed, quarantined.size());
   }
 
+  private static RequestTraits traits(Request request) {
+    return new RequestTraits("", "", request.identity(), List.of());
+  }
+
   private static RequestIdentity identity(String name) {
     return RequestIdentity.of(name, "", new byte[0]);
   }
@@ -145,7 +150,7 @@
       return;
     }
     running.get(target).remove(run);
-    policy.onCompleted(run.request().identity());
+    policy.onCompleted(run.request().identity(), now());
   }
 
   private void crash(int target) {
@@ -158,7 +163,7 @@
     String incarnation = target + "@" + incarnations[target]++;
     policy.onCrash(
         inFlight.stream()
-            .map(run -> new CrashedRun(run.request().identity(), incarnation, run.sentAt(), now()))
+            .map(run -> new CrashedRun(traits(run.request()), incarnation, run.sentAt(), now()))
             .toList());
     interruptedRuns += (int) inFlight.stream().filter(run -> !run.request().isGuilty()).count();
     inFlight.forEach(run -> clock.after(RESEND_SECONDS, run.onInterrupted()));
--- a/bench/src/main/java/dev/ibishub/bench/crashes/LikelihoodBlame.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/LikelihoodBlame.java
@@ -1,7 +1,7 @@
 package dev.ibishub.bench.crashes;
 
-import dev.ibishub.core.serving.CrashedRun;
-import dev.ibishub.core.serving.RequestIdentity;
+import dev.ibishub.core.serving.crashes.CrashedRun;
+import dev.ibishub.core.serving.crashes.RequestIdentity;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +19,7 @@
   private double crashedRuns;
 
   @Override
-  public void onCompleted(RequestIdentity request) {
+  public void onCompleted(RequestIdentity request, long now) {
     runs++;
     odds.remove(request);
   }
@@ -32,7 +32,7 @@
     inFlight.forEach(
         run ->
             odds.compute(
-                run.request(),
+                run.request().identity(),
                 (any, before) -> (before == null ? PRIOR : before) / Math.min(1, otherCause)));
   }
 
--- a/core/src/main/java/dev/ibishub/core/serving/RequestIdentity.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestIdentity.java
@@ -1,4 +1,4 @@
-package dev.ibishub.core.serving;
+package dev.ibishub.core.serving.crashes;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
--- /dev/null
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestTraits.java
@@ -0,0 +1,49 @@
+package dev.ibishub.core.serving.crashes;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * What a request may have in common with others that crash targets.
+ *
+ * @param service name of the service that it goes to
+ * @param workspace name of the sender's workspace; empty without one
+ * @param identity the whole request
+ * @param partIds ids of the parts of its prompt that other requests may share
+ */
+public record RequestTraits(
+    String service, String workspace, RequestIdentity identity, List<String> partIds) {
+  /** Checks that nothing is missing. */
+  public RequestTraits {
+    Objects.requireNonNull(service);
+    Objects.requireNonNull(workspace);
+    Objects.requireNonNull(identity);
+    partIds = List.copyOf(partIds);
+  }
+
+  /** Returns the traits of the prompt's parts. */
+  public Set<RequestTrait> parts() {
+    return partIds.stream()
+        .map(id -> RequestTrait.ofPart(service, id))
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns all traits. */
+  public Set<RequestTrait> all() {
+    return Stream.concat(Stream.of(RequestTrait.ofRequest(identity)), parts().stream())
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns these traits without the parts that don't match. */
+  RequestTraits withPartsThat(Predicate<RequestTrait> matches) {
+    return new RequestTraits(
+        service,
+        workspace,
+        identity,
+        partIds.stream().filter(id -> matches.test(RequestTrait.ofPart(service, id))).toList());
+  }
+}
--- a/core/src/test/java/dev/ibishub/core/serving/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -1,8 +1,9 @@
-package dev.ibishub.core.serving;
+package dev.ibishub.core.serving.crashes;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -16,8 +17,25 @@
     return RequestIdentity.of("/stream/x", "w", body.getBytes(StandardCharsets.UTF_8));
   }
 
+  private static RequestTraits traits(RequestIdentity request) {
+    return new RequestTraits("s", "w", request, List.of());
+  }
+
+  private static CrashedRun run(
+      RequestIdentity request, String incarnation, long sentAt, long brokenAt) {
+    return new CrashedRun(traits(request), incarnation, sentAt, brokenAt);
+  }
+
+  private static CrashFindings report(CrashedRun run) {
+    return CrashFindings.of(List.of(run), List.of(), List.of());
+  }
+
+  private boolean isQuarantined(RequestIdentity request, long now) {
+    return quarantine.permission(traits(request), true, now) == SendPermission.QUARANTINED;
+  }
+
   private void crash(RequestIdentity request, String incarnation, long sentAt, long brokenAt) {
-    quarantine.onBroken(new CrashedRun(request, incarnation, sentAt, brokenAt));
+    quarantine.onBroken(run(request, incarnation, sentAt, brokenAt));
     quarantine.onCrashed(incarnation);
   }
 
@@ -32,16 +50,16 @@
   @Test
   void secondSuccessiveCrashQuarantinesRequest() {
     crash(GUILTY, "a", 0, 10);
-    assertThat(quarantine.isQuarantined(GUILTY, 20)).isFalse();
+    assertThat(isQuarantined(GUILTY, 20)).isFalse();
 
     crash(GUILTY, "b", 20, 30);
-    assertThat(quarantine.isQuarantined(GUILTY, 40)).isTrue();
+    assertThat(isQuarantined(GUILTY, 40)).isTrue();
   }
 
   @Test
   void brokenRunOnLiveTargetDoesNotCountAsCrash() {
-    quarantine.onBroken(new CrashedRun(GUILTY, "a", 0, 10));
-    quarantine.onBroken(new CrashedRun(GUILTY, "b", 20, 30));
+    quarantine.onBroken(run(GUILTY, "a", 0, 10));
+    quarantine.onBroken(run(GUILTY, "b", 20, 30));
 
     assertThat(quarantine.crashes(GUILTY)).isZero();
   }
@@ -54,15 +72,15 @@
     crash(INNOCENT, "c", 600, 1_002);
 
     assertThat(quarantine.crashes(INNOCENT)).isEqualTo(1);
-    assertThat(quarantine.isQuarantined(INNOCENT, 2_000)).isFalse();
+    assertThat(isQuarantined(INNOCENT, 2_000)).isFalse();
   }
 
   // Guards against a quarantine that takes effect at one entry only. The other entries date the
   // first crash too late by the transit time of its report, so that the runs seem to overlap.
   @Test
   void runThatOverlapsWithinToleranceCountsAsSuccessive() {
-    quarantine.onReport(new CrashedRun(GUILTY, "a", 90, 110));
-    quarantine.onReport(new CrashedRun(GUILTY, "b", 60, 115));
+    quarantine.onReport(report(run(GUILTY, "a", 90, 110)));
+    quarantine.onReport(report(run(GUILTY, "b", 60, 115)));
 
     assertThat(quarantine.crashes(GUILTY)).isEqualTo(2);
   }
@@ -71,16 +89,16 @@
   void answeredRequestIsCleared() {
     crash(INNOCENT, "a", 0, 10);
 
-    assertThat(quarantine.onCompleted(INNOCENT)).isTrue();
+    assertThat(quarantine.onCompleted(INNOCENT, 15).cleared()).hasSize(1);
     crash(INNOCENT, "b", 20, 30);
-    assertThat(quarantine.isQuarantined(INNOCENT, 40)).isFalse();
+    assertThat(isQuarantined(INNOCENT, 40)).isFalse();
   }
 
   @Test
   void crashKnownBeforeBrokenRunCounts() {
     quarantine.onCrashed("a");
 
-    assertThat(quarantine.onBroken(new CrashedRun(GUILTY, "a", 0, 10))).hasSize(1);
+    assertThat(quarantine.onBroken(run(GUILTY, "a", 0, 10)).runs()).hasSize(1);
     assertThat(quarantine.crashes(GUILTY)).isEqualTo(1);
   }
 
@@ -88,9 +106,9 @@
   void crashReportedByTwoEntriesCountsOnce() {
     crash(GUILTY, "a", 0, 10);
 
-    assertThat(quarantine.onReport(new CrashedRun(GUILTY, "a", 1, 11))).isFalse();
-    assertThat(quarantine.onReport(new CrashedRun(GUILTY, "b", 20, 30))).isTrue();
-    assertThat(quarantine.isQuarantined(GUILTY, 40)).isTrue();
+    assertThat(quarantine.onReport(report(run(GUILTY, "a", 1, 11))).isEmpty()).isTrue();
+    assertThat(quarantine.onReport(report(run(GUILTY, "b", 20, 30))).isEmpty()).isFalse();
+    assertThat(isQuarantined(GUILTY, 40)).isTrue();
   }
 
   // Guards against a request that is refused forever after two crashes that it did not cause, and
@@ -99,23 +117,25 @@
   void quarantineEndsAndIsLongerAfterFurtherCrash() {
     crash(GUILTY, "a", 0, 10);
     crash(GUILTY, "b", 20, 30);
-    long endsAt = 30 + RequestQuarantine.FIRST_QUARANTINE_MILLIS;
-    assertThat(quarantine.isQuarantined(GUILTY, endsAt - 1)).isTrue();
-    assertThat(quarantine.isQuarantined(GUILTY, endsAt)).isFalse();
-
+    long endsAt = 30 + RequestQuarantine.FIRST_TRIAL_MILLIS;
+    assertThat(isQuarantined(GUILTY, endsAt - 1)).isTrue();
+    assertThat(isQuarantined(GUILTY, endsAt)).isFalse();
+    assertThat(quarantine.permission(traits(GUILTY), false, endsAt))
+        .as("at an entry that makes no trials")
+        .isEqualTo(SendPermission.QUARANTINED);
+
+    quarantine.onSent(traits(GUILTY), endsAt);
+    assertThat(isQuarantined(GUILTY, endsAt)).as("beside the trial").isTrue();
     crash(GUILTY, "c", endsAt, endsAt + 10);
-    assertThat(
-            quarantine.isQuarantined(
-                GUILTY, endsAt + 2 * RequestQuarantine.FIRST_QUARANTINE_MILLIS))
-        .isTrue();
+    assertThat(isQuarantined(GUILTY, endsAt + 2 * RequestQuarantine.FIRST_TRIAL_MILLIS)).isTrue();
   }
 
   // Guards against memory use that grows with each broken run.
   @Test
   void numberOfSuspectsIsBounded() {
-    IntStream.range(0, 2 * RequestQuarantine.MAXIMUM_KEPT)
+    IntStream.range(0, 2 * CrashEvidence.MAXIMUM_KEPT)
         .forEach(number -> crash(identity("body " + number), "life " + number, number, number + 1));
 
-    assertThat(quarantine.all()).hasSize(RequestQuarantine.MAXIMUM_KEPT);
+    assertThat(quarantine.all().runs()).hasSize(CrashEvidence.MAXIMUM_KEPT);
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -1,9 +1,15 @@
 package dev.ibishub.gateway.front;
 
 import com.google.common.flogger.FluentLogger;
-import dev.ibishub.core.serving.CrashedRun;
-import dev.ibishub.core.serving.RequestIdentity;
-import dev.ibishub.core.serving.RequestQuarantine;
+import dev.ibishub.core.serving.crashes.CrashFindings;
+import dev.ibishub.core.serving.crashes.CrashFindings.Clearing;
+import dev.ibishub.core.serving.crashes.CrashedRun;
+import dev.ibishub.core.serving.crashes.Quarantine;
+import dev.ibishub.core.serving.crashes.RequestIdentity;
+import dev.ibishub.core.serving.crashes.RequestQuarantine;
+import dev.ibishub.core.serving.crashes.RequestTrait;
+import dev.ibishub.core.serving.crashes.RequestTraits;
+import dev.ibishub.core.serving.crashes.SendPermission;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.CrashReport;
@@ -15,12 +21,15 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Detector of requests that crash targets, which shares what it finds with the other entries.
@@ -37,26 +46,87 @@
   /** Connect timeout, milliseconds; connecting usually takes 1 to 5. */
   private static final int CONNECT_TIMEOUT_MILLIS = 100;
 
+  /**
+   * How long after its start an entry holds back requests with prompt parts until another entry has
+   * told it which of them crash targets, milliseconds.
+   */
+  private static final long FINDINGS_WAIT_MILLIS = 800;
+
   private final RequestQuarantine quarantine = new RequestQuarantine();
   private final Consumer<Frame> broadcast;
+  private final BooleanSupplier leads;
+  private final Counter events;
+  private volatile long findingsDueAt = Long.MIN_VALUE;
 
   /**
-   * Creates a detector without suspicions.
+   * Creates a detector without suspicions, for an entry that makes trials.
    *
    * @param broadcast sends a message to all linked entries
    */
   public CrashDetector(Consumer<Frame> broadcast) {
+    this(broadcast, () -> true, new PrometheusRegistry());
+  }
+
+  /**
+   * Creates a detector without suspicions.
+   *
+   * @param broadcast sends a message to all linked entries
+   * @param leads whether this entry, of all entries, makes the trials whether a quarantine is still
+   *     needed
+   * @param registry where the metrics are registered
+   */
+  public CrashDetector(
+      Consumer<Frame> broadcast, BooleanSupplier leads, PrometheusRegistry registry) {
     this.broadcast = broadcast;
+    this.leads = leads;
+    this.events =
+        Counter.builder()
+            .name("ibishub_crash_events_total")
+            .help("Findings on requests that crash targets, own and reported ones, by event.")
+            .labelNames("event")
+            .register(registry);
+  }
+
+  /**
+   * Makes this entry wait for another one's findings, as there were entries before it started.
+   *
+   * @param startedAt when it started, on the monotonic clock, milliseconds
+   */
+  public void awaitFindings(long startedAt) {
+    findingsDueAt = startedAt + FINDINGS_WAIT_MILLIS;
+  }
+
+  /** Whether another entry may know of quarantines that this one does not know yet. */
+  boolean isAwaitingFindings(long now) {
+    return now < findingsDueAt;
+  }
+
+  /** Whether any request may be held back. */
+  boolean isWatching() {
+    return quarantine.isWatching();
+  }
+
+  /** Returns whether a request may be sent for the first time. */
+  SendPermission permission(RequestTraits request, long now) {
+    return quarantine.permission(request, leads.getAsBoolean(), now);
   }
 
-  /** Whether a request is quarantined, so that it must not be sent to any target. */
-  boolean isQuarantined(Supplier<RequestIdentity> request, long now) {
-    return quarantine.suspectsAny() && quarantine.isQuarantined(request.get(), now);
+  /** Whether a request may be sent once more. */
+  boolean mayRepeat(RequestTraits request) {
+    return quarantine.mayRepeat(request);
   }
 
-  /** Returns how many crashes in a row a request is suspected of. */
-  int crashes(RequestIdentity request) {
-    return quarantine.crashes(request);
+  /** Notes that a request is sent to a target. */
+  void onSent(RequestTraits request, long now) {
+    publish(quarantine.onSent(request, now));
+  }
+
+  /** Returns what a request is quarantined for. */
+  String describe(RequestTraits request) {
+    return quarantine.quarantines().stream()
+        .filter(each -> request.all().containsAll(each.traits()))
+        .map(each -> "%s crashed targets".formatted(ids(each.traits())))
+        .collect(Collectors.joining("; "));
   }
 
   /**
@@ -79,22 +149,25 @@
               connected.channel().close();
               logCheck(run, connected.cause());
               if (isRefused(connected.cause())) {
-                onIncarnationEnded(run.targetIncarnation());
+                publish(quarantine.onCrashed(run.targetIncarnation(), run.brokenAt()));
               }
               loop.execute(next);
             });
   }
 
-  /** Notes that a run was abandoned because its target went silent. */
-  void onSilent(CrashedRun run) {
+  /** Notes that an unanswered run was given up. */
+  void onAbandoned(CrashedRun run) {
     publish(quarantine.onBroken(run));
   }
 
+  /** Notes that a target has begun to answer a request, which clears its parts of suspicion. */
+  void onAnswerBegun(String service, Set<RequestTrait> parts, long now) {
+    publish(quarantine.onAnswerBegun(service, parts, now));
+  }
+
   /** Notes that a target completed a request, which clears it of suspicion. */
-  void onCompleted(Supplier<RequestIdentity> request) {
-    if (quarantine.suspectsAny() && quarantine.onCompleted(request.get())) {
-      broadcast.accept(CrashMessages.clearedFrame(request.get()));
-    }
+  void onCompleted(RequestIdentity request, long now) {
+    publish(quarantine.onCompleted(request, now));
   }
 
   /**
@@ -111,48 +184,83 @@
    * @return whether any of it was new, so that other entries may not have it yet
    */
   public boolean onReport(CrashReport report) {
+    findingsDueAt = Long.MIN_VALUE;
     long now = MonotonicClock.millis();
-    List<CrashedRun> runs =
-        report.getRunsList().stream()
-            .map(message -> CrashMessages.toRun(message, now))
-            .filter(quarantine::onReport)
-            .toList();
-    runs.forEach(run -> log("crash.told", run));
-    long cleared =
-        report.getClearedList().stream()
-            .map(RequestIdentity::new)
-            .filter(quarantine::onCompleted)
-            .count();
-    return !runs.isEmpty() || cleared > 0;
+    CrashFindings reported = CrashMessages.findings(report, now);
+    CrashFindings news = quarantine.onReport(reported);
+    log(news, "crash.told");
+    CrashFindings own =
+        new CrashFindings(
+            news.runs().stream().filter(run -> !isAmong(run, reported)).toList(),
+            news.cleared().stream().filter(each -> !reported.cleared().contains(each)).toList(),
+            List.of(),
+            news.quarantines().stream()
+                .filter(each -> !reported.quarantines().contains(each))
+                .toList());
+    if (!own.isEmpty()) {
+      broadcast.accept(CrashMessages.frame(own, now));
+    }
+    return !news.isEmpty();
   }
 
-  /**
-   * Returns a message with all suspicions, for an entry that has just started; empty if there are
-   * none.
-   */
-  public Optional<Frame> snapshot() {
-    List<CrashedRun> all = quarantine.all();
-    return all.isEmpty()
-        ? Optional.empty()
-        : Optional.of(CrashMessages.crashedFrame(all, MonotonicClock.millis()));
+  private static boolean isAmong(CrashedRun run, CrashFindings reported) {
+    return reported.runs().stream().anyMatch(run::isSameRun);
   }
 
-  private void publish(List<CrashedRun> newRuns) {
-    if (newRuns.isEmpty()) {
-      return;
+  /** Returns a message with all suspicions, for an entry that has just been linked. */
+  public Frame snapshot() {
+    return CrashMessages.frame(quarantine.all(), MonotonicClock.millis());
+  }
+
+  private void publish(CrashFindings findings) {
+    if (!findings.isEmpty()) {
+      log(findings, "crash.suspected");
+      broadcast.accept(CrashMessages.frame(findings, MonotonicClock.millis()));
     }
-    newRuns.forEach(run -> log("crash.suspected", run));
-    broadcast.accept(CrashMessages.crashedFrame(newRuns, MonotonicClock.millis()));
   }
 
-  private void log(String event, CrashedRun run) {
+  private void log(CrashFindings findings, String runEvent) {
+    findings.runs().forEach(run -> logRun(runEvent, run));
+    findings.cleared().forEach(CrashDetector::logCleared);
+    findings.quarantines().forEach(CrashDetector::logQuarantine);
+    events.labelValues("suspected").inc(findings.runs().size());
+    events.labelValues("cleared").inc(findings.cleared().size());
+    events.labelValues("probed").inc(findings.probes().size());
+    events.labelValues("quarantined").inc(findings.quarantines().size());
+  }
+
+  private void logRun(String event, CrashedRun run) {
     logger.atInfo().log(
         "%s",
         LogEvent.of(event)
-            .with("identity", run.request().digest())
+            .with("identity", run.request().identity().digest())
+            .with("service", run.request().service())
+            .with("parts", String.join(",", run.request().partIds()))
             .with("target_life", run.targetIncarnation())
             .with("ran_ms", run.brokenAt() - run.sentAt())
-            .with("crashes", quarantine.crashes(run.request())));
+            .with("crashes", quarantine.crashes(run.request().identity())));
+  }
+
+  private static void logCleared(Clearing cleared) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("crash.cleared")
+            .with("trait", cleared.trait().id())
+            .with("service", cleared.trait().service()));
+  }
+
+  private static void logQuarantine(Quarantine quarantine) {
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("crash.quarantined")
+            .with("traits", ids(quarantine.traits()))
+            .with("workspaces", quarantine.workspaces().size())
+            .with("trials", quarantine.trials())
+            .with("next_trial_ms", quarantine.nextTrialAt() - MonotonicClock.millis()));
+  }
+
+  private static String ids(Set<RequestTrait> traits) {
+    return traits.stream().map(RequestTrait::id).sorted().collect(Collectors.joining(","));
   }
 
   private static void logCheck(CrashedRun run, Throwable cause) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -2,16 +2,14 @@
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.serving.AttemptOutcome;
-import dev.ibishub.core.serving.CrashedRun;
-import dev.ibishub.core.serving.RequestIdentity;
 import dev.ibishub.core.serving.RetryAdvice;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
+import dev.ibishub.core.serving.crashes.SendPermission;
 import dev.ibishub.gateway.model.EngineProfile;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
 import dev.ibishub.runtime.MonotonicClock;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -54,12 +52,12 @@
 
   /**
    * Divisor of the time between a request's arrival and its deadline; the result is the longest
-   * wait for engines that are about to accept requests.
+   * wait for engines that are about to accept requests, or for what becomes of another request.
    */
-  private static final long ENGINE_WAIT_DIVISOR = 8;
+  private static final long WAIT_DIVISOR = 8;
 
-  /** Interval between checks of engines that are about to accept requests, milliseconds. */
-  private static final long ENGINE_CHECK_MILLIS = 60;
+  /** Interval between checks whether such a wait is over, milliseconds. */
+  private static final long CHECK_MILLIS = 60;
 
   private final RequestContext context;
   private final EventLoop loop;
@@ -87,7 +85,7 @@
 
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
   private OptionalLong lastEventId = OptionalLong.empty();
-  private Optional<RequestIdentity> identity = Optional.empty();
+  private CrashGuard guard;
 
   /** The request for admission, if the service has any. */
   private Optional<AdmissionTicket> ticket = Optional.empty();
@@ -97,6 +95,9 @@
   /** When the wait for a group that is about to open ends, on the monotonic clock, milliseconds. */
   private long engineWaitUntil = Long.MAX_VALUE;
 
+  /** When the wait for another request's result ends, on the monotonic clock, milliseconds. */
+  private long heldUntil = Long.MAX_VALUE;
+
   private boolean isOver;
 
   /**
@@ -140,7 +141,8 @@
       refuse(ResultCode.ENTRY_LEAVING, LEAVING_RETRY_MILLIS);
       return;
     }
-    if (isQuarantined(arrivedAt)) {
+    guard = new CrashGuard(context.crashes(), request, routed, caller.promptParts());
+    if (guard.permission(arrivedAt) == SendPermission.QUARANTINED) {
       refuseQuarantined();
       return;
     }
@@ -154,25 +156,8 @@
     send();
   }
 
-  private boolean isQuarantined(long now) {
-    return context.crashes().isQuarantined(this::identity, now);
-  }
-
-  private RequestIdentity identity() {
-    if (identity.isEmpty()) {
-      identity =
-          Optional.of(
-              RequestIdentity.of(
-                  request.uri(),
-                  routed.workspace().map(Workspace::name).orElse(""),
-                  ByteBufUtil.getBytes(request.content())));
-    }
-    return identity.get();
-  }
-
   private void refuseQuarantined() {
-    String cause = "crashed %d targets in a row".formatted(context.crashes().crashes(identity()));
-    log.ended("request.quarantined", ResultCode.REQUEST_QUARANTINED, cause, sends);
+    log.ended("request.quarantined", ResultCode.REQUEST_QUARANTINED, guard.cause(), sends);
     response.writeRefusal(ResultCode.REQUEST_QUARANTINED, 0);
     complete("quarantined");
   }
@@ -200,10 +185,13 @@
       onDeadline();
       return;
     }
+    if (sends == 0 && !isPermitted(now)) {
+      return;
+    }
     List<TargetDirectory.ListedTarget> usable = context.targets().usable(routed.service());
     List<TargetLoad> loads = usable.stream().map(TargetDirectory.ListedTarget::load).toList();
     if (TargetChoice.areForming(loads, now) && mayWaitForEngines(now)) {
-      checkEnginesLater();
+      sendLater();
       return;
     }
     boolean isClosed = TargetChoice.areClosed(loads, now);
@@ -216,12 +204,28 @@
     if (chosen.isPresent()) {
       startAttempt(chosen.get(), now);
     } else if (!isClosed && isWithheldFromColdTargets(usable, now) && mayWaitForEngines(now)) {
-      checkEnginesLater();
+      sendLater();
     } else {
       onNoTarget(loads, isClosed, now);
     }
   }
 
+  /** Whether this request may be sent for the first time; if not, refuses it or tries later. */
+  private boolean isPermitted(long now) {
+    SendPermission permission = guard.permission(now);
+    if (permission == SendPermission.QUARANTINED) {
+      refuseQuarantined();
+    } else if (permission == SendPermission.HELD) {
+      heldUntil = Math.min(heldUntil, now + (routed.deadline() - arrivedAt) / WAIT_DIVISOR);
+      if (now < heldUntil) {
+        sendLater();
+      } else {
+        refuse(ResultCode.REQUEST_SUSPECTED, NO_TARGET_RETRY_MILLIS);
+      }
+    }
+    return permission == SendPermission.ALLOWED;
+  }
+
   /**
    * Whether the first send of this request waits for a decision. Streams that were resumed here and
    * requests that were sent before do not: their callers wait for the rest.
@@ -263,8 +267,8 @@
     }
   }
 
-  private void checkEnginesLater() {
-    loop.schedule(this::sendUnlessOver, ENGINE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+  private void sendLater() {
+    loop.schedule(this::sendUnlessOver, CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Whether the wait for engines that are about to accept requests may go on. */
@@ -272,7 +276,7 @@
     long formationTimeoutMillis =
         routed.engine().map(EngineProfile::formationTimeoutMillis).orElse(0L);
     long patience =
-        Math.min(formationTimeoutMillis, (routed.deadline() - arrivedAt) / ENGINE_WAIT_DIVISOR);
+        Math.min(formationTimeoutMillis, (routed.deadline() - arrivedAt) / WAIT_DIVISOR);
     engineWaitUntil = Math.min(engineWaitUntil, now + patience);
     return now < engineWaitUntil;
   }
@@ -292,6 +296,7 @@
     log.onTarget(target);
     tried.add(target.target().id());
     sends++;
+    guard.onSent(now);
     target.load().onSent(now);
     context.admission().onSent(routed.service(), now);
     if (!isAdmitted || sends > 1) {
@@ -322,7 +327,7 @@
   /** Whether the request may be sent once more; if so, takes a retry from the budget. */
   private boolean tryTakeRetry(AttemptOutcome outcome, int runsSoFar, long now) {
     return routed.retryRule().allowsAnother(outcome, runsSoFar, sends)
-        && !isQuarantined(now)
+        && guard.mayRepeat()
         && context.budgets().tryRetry(routed.service(), now);
   }
 
@@ -424,14 +429,7 @@
     private final SilenceMonitor silenceMonitor;
     private boolean isSilent;
 
-    /** When the last piece came, milliseconds; empty before the first. */
-    private OptionalLong pieceAt = OptionalLong.empty();
-
-    /** Whether admission counts this attempt among the streams that show progress. */
-    private boolean isCounted;
-
-    /** Whether reading was stopped since the last piece, so that the pause is not the engine's. */
-    private boolean wasSuspended;
+    private final PassTimes passTimes = new PassTimes(context.admission(), routed.service());
 
     Attempt(TargetDirectory.ListedTarget target, long sentAt) {
       this.target = target;
@@ -477,7 +475,7 @@
         return;
       }
       end("silent");
-      context.crashes().onSilent(brokenRun(now));
+      guard.onAbandoned(target, sentAt);
       target.load().onAnswer(false, now);
       runs++;
       log.attemptFailed(
@@ -495,18 +493,19 @@
       relay.cancel();
       attempts.remove(this);
       target.load().onEnded();
-      if (isCounted) {
-        context.admission().onEnded(routed.service());
-      }
+      passTimes.onEnded();
       context.metrics().onAttemptEnded(routed.service(), outcome);
     }
 
-    private CrashedRun brokenRun(long now) {
-      return new CrashedRun(identity(), target.target().incarnation(), sentAt, now);
+    void cancel() {
+      if (!hasBegun()) {
+        guard.onAbandoned(target, sentAt);
+      }
+      end("cancelled");
     }
 
     private boolean hasBegun() {
-      return pieceAt.isPresent();
+      return passTimes.hasBegun();
     }
 
     private void endOthers() {
@@ -551,6 +550,7 @@
       long now = MonotonicClock.millis();
       timings.onPiece(now);
       context.services().responseTimes(routed.service()).onSuccess(now - sentAt);
+      guard.onAnswerBegun(now);
       onSuccess();
       response.writeWhole(status, headers, body);
       complete("ok");
@@ -573,24 +573,17 @@
       silenceMonitor.onPiece(now);
       timings.onPiece(now);
       context.services().streamProgress(routed.service()).onPiece(now);
-      reportPassTime(now);
+      if (!hasBegun()) {
+        guard.onAnswerBegun(now);
+      }
+      passTimes.onPiece(now);
       response.writePiece(bytes);
       if (!response.isWritable()) {
         relay.setReading(false);
-        wasSuspended = true;
+        passTimes.onSuspended();
       }
     }
 
-    private void reportPassTime(long now) {
-      if (pieceAt.isEmpty()) {
-        isCounted = context.admission().onFirstPiece(routed.service(), now);
-      } else if (!wasSuspended) {
-        context.admission().onPause(routed.service(), now - pieceAt.getAsLong(), now);
-      }
-      wasSuspended = false;
-      pieceAt = OptionalLong.of(now);
-    }
-
     @Override
     public void onEnd() {
       onSuccess();
@@ -599,8 +592,9 @@
     }
 
     private void onSuccess() {
-      target.load().onAnswer(true, MonotonicClock.millis());
-      context.crashes().onCompleted(Exchange.this::identity);
+      long now = MonotonicClock.millis();
+      target.load().onAnswer(true, now);
+      guard.onCompleted(now);
       context
           .metrics()
           .onResponse(routed.service(), timings.firstPieceMillis(), timings.longestPauseMillis());
@@ -624,8 +618,7 @@
       Runnable next = () -> onAttemptFailed(outcome, cause, hasBegun(), isCallersFault);
       if (outcome == AttemptOutcome.BROKEN) {
         // A retry depends on whether the request crashed its target, which is checked first.
-        long now = MonotonicClock.millis();
-        context.crashes().onBroken(loop, brokenRun(now), target.address(), next);
+        guard.onBroken(loop, target, sentAt, hasBegun(), next);
       } else {
         next.run();
       }
@@ -720,7 +713,7 @@
   private void complete(String result) {
     isOver = true;
     ticket.ifPresent(context.admission()::withdraw);
-    List.copyOf(attempts).forEach(attempt -> attempt.end("cancelled"));
+    List.copyOf(attempts).forEach(Attempt::cancel);
     if (timer != null) {
       timer.cancel(false);
     }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
@@ -141,7 +141,7 @@
     Entry added = new Entry();
     entries.stream()
         .findFirst()
-        .flatMap(first -> first.crashes.snapshot())
+        .map(first -> first.crashes.snapshot())
         .ifPresent(frame -> added.crashes.onReport(frame.getCrashReport()));
     entries.add(added);
   }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -115,7 +115,7 @@
     InetSocketAddress storeAddress = SocketAddresses.parse(settings.storeAddress().orElseThrow());
     PooledHttpClient httpClient = new PooledHttpClient(group);
     metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
-    crashes = new CrashDetector(this::broadcast);
+    crashes = newCrashDetector(settings);
     limits =
         new TargetLimits(
             new SharedLimits(settings.host(), LimitDivision.amongFewHolders()),
@@ -172,6 +172,18 @@
         settings.processId(), "entry", settings.zone(), ThreadLocalRandom.current().nextLong());
   }
 
+  private CrashDetector newCrashDetector(NodeSettings settings) {
+    CrashDetector detector =
+        new CrashDetector(
+            this::broadcast,
+            () -> mesh().leads(MonotonicClock.millis()),
+            PrometheusRegistry.defaultRegistry);
+    if (!settings.isFirstStart()) {
+      detector.awaitFindings(startedAt);
+    }
+    return detector;
+  }
+
   private ServiceAdmission newAdmission() {
     return new ServiceAdmission(
         AdmissionMode.of(settings.admission()),
@@ -326,7 +338,7 @@
   /** Returns messages with all that this entry knows, for an entry that has just been linked. */
   private List<Frame> snapshots() {
     return Stream.of(
-            topics.snapshots().stream(), crashes.snapshot().stream(), limits.snapshot().stream())
+            topics.snapshots().stream(), Stream.of(crashes.snapshot()), limits.snapshot().stream())
         .flatMap(frames -> frames)
         .toList();
   }
