Judge prompt parts once all entries have reported, and check silent targets

Parts are judged 0.1 s after the last report, and a quarantine whose crashes another one explains is lifted. - A sound part that always came with the guilty one, and ran at one more target that crashed, was quarantined alone. A target that has been silent for 1.5 s as a run is given up is connected to, at most each 2 s, and a probe counts for 2 s.

Also: evidence expires, what quarantines explain is worked out once, and the entry judges in its tick, so that an entry without requests tells the others. RequestQuarantine is split: UnconfirmedRuns, CrashEvidence, PartBlame.

--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -66,6 +66,7 @@
   private Optional<GroupOpenness> group = Optional.empty();
   private double failureShare;
   private long answeredAt;
+  private long goodAnswerAt = Long.MIN_VALUE;
   private long suspendedUntil = Long.MIN_VALUE;
   private long suspensionMillis = FIRST_SUSPENSION_MILLIS;
   private long backOffUntil = Long.MIN_VALUE;
@@ -115,11 +116,17 @@
     failureShare = failureShare(now) * (1 - FAILURE_WEIGHT) + (good ? 0 : FAILURE_WEIGHT);
     answeredAt = now;
     if (good) {
+      goodAnswerAt = now;
       suspensionMillis = FIRST_SUSPENSION_MILLIS;
       suspendedUntil = Long.MIN_VALUE;
     }
   }
 
+  /** Whether the target answered at or after a time, milliseconds. */
+  public synchronized boolean hasAnsweredSince(long time) {
+    return goodAnswerAt >= time;
+  }
+
   /** Records that the target could not be reached, and suspends it for a while. */
   public synchronized void onUnreachable(long now) {
     onAnswer(false, now);
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -114,10 +113,9 @@
     if (runs.stream().anyMatch(run::isSameRun)) {
       return false;
     }
-    long suspicionMillis = trait.isPart() ? PART_SUSPICION_MILLIS : REQUEST_SUSPICION_MILLIS;
     boolean isCounted = !trait.isPart() && successiveCrashes(trait, runs) >= REQUEST_CRASH_COUNT;
     if (!isCounted) {
-      runs.removeIf(other -> run.brokenAt() - other.brokenAt() > suspicionMillis);
+      runs.removeIf(other -> run.brokenAt() - other.brokenAt() > suspicionMillis(trait));
     }
     runs.add(run);
     runs.sort(Comparator.comparingLong(CrashedRun::brokenAt));
@@ -161,6 +159,18 @@
     return true;
   }
 
+  /** Forgets runs that no longer count. */
+  void expire(long now) {
+    suspects.forEach(
+        (trait, suspect) ->
+            suspect.runs().removeIf(run -> now - run.brokenAt() > suspicionMillis(trait)));
+    suspects.values().removeIf(suspect -> suspect.runs().isEmpty());
+  }
+
+  private static long suspicionMillis(RequestTrait trait) {
+    return trait.isPart() ? PART_SUSPICION_MILLIS : REQUEST_SUSPICION_MILLIS;
+  }
+
   boolean isEmpty() {
     return suspects.isEmpty();
   }
@@ -179,12 +189,18 @@
         .toList();
   }
 
-  /** Returns the incarnations at which requests with any of some traits ran as they crashed. */
-  Set<String> incarnations(Stream<RequestTrait> traits) {
-    return traits
-        .flatMap(trait -> runs(trait).stream())
-        .map(CrashedRun::targetIncarnation)
-        .collect(Collectors.toUnmodifiableSet());
+  /** Returns the runs at crashed targets whose requests had all of some parts. */
+  List<CrashedRun> runsWith(Set<RequestTrait> parts) {
+    return parts.stream()
+        .limit(1)
+        .flatMap(part -> runs(part).stream())
+        .filter(run -> run.request().parts().containsAll(parts))
+        .toList();
+  }
+
+  /** Returns the incarnations at which requests with all of some parts ran as they crashed. */
+  Stream<String> incarnationsOfRunsWith(Set<RequestTrait> parts) {
+    return runsWith(parts).stream().map(CrashedRun::targetIncarnation);
   }
 
   /** Returns the suspected parts. */
@@ -212,6 +228,16 @@
         || (isMostOfOverlapping && answersOfOthers >= ANSWERS_OF_OTHERS_IF_OVERLAPPING);
   }
 
+  /** Whether a part has run at enough crashed targets, so that answers of others may decide. */
+  boolean mayAnswersDecide(Predicate<CrashedRun> counts) {
+    return suspectedParts().anyMatch(part -> crashes(part, counts) >= PART_CRASH_COUNT);
+  }
+
+  /** Returns how many targets crashed while they ran requests with a trait. */
+  long crashes(RequestTrait trait, Predicate<CrashedRun> counts) {
+    return distinctCrashes(runs(trait).stream().filter(counts).toList());
+  }
+
   /** Returns how many crashes of targets followed one another under a trait. */
   int successiveCrashes(RequestTrait trait) {
     return successiveCrashes(trait, runs(trait));
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/Quarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/Quarantine.java
@@ -32,9 +32,9 @@
     }
   }
 
-  /** Whether a request is kept back. */
-  boolean applies(RequestTraits request) {
-    return appliesToWorkspace(request.workspace()) && request.all().containsAll(traits);
+  /** Whether a request of a workspace with some traits is kept back. */
+  boolean applies(String workspace, Set<RequestTrait> of) {
+    return appliesToWorkspace(workspace) && of.containsAll(traits);
   }
 
   private boolean appliesToWorkspace(String workspace) {
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -2,17 +2,13 @@
 
 import dev.ibishub.core.serving.crashes.CrashFindings.Clearing;
 import dev.ibishub.core.serving.crashes.CrashFindings.Probe;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -45,39 +41,32 @@
   /** How many times as long as before each further trial is put off. */
   private static final long TRIAL_GROWTH_FACTOR = 10;
 
-  /**
-   * How long after a broken run a crash of its target can still be reported, milliseconds. A target
-   * that restarts announces itself within some seconds.
-   */
-  static final long UNCONFIRMED_MILLIS = 15_000;
-
-  /**
-   * How long before the crash of its target a run may have broken off to count as in flight there,
-   * milliseconds.
-   */
-  static final long COINCIDENCE_MILLIS = 500;
-
   /**
    * How long one request is given to be answered while others with the same suspected part are held
    * back, milliseconds.
    */
-  static final long PROBE_MILLIS = 1_000;
+  static final long PROBE_MILLIS = 2_000;
 
-  /** Maximum number of broken runs whose targets are not known to have crashed. */
-  static final int MAXIMUM_UNCONFIRMED = 2_048;
+  /**
+   * Time from a report of a crash to the decision on parts, milliseconds. Each entry reports what
+   * it had at the target, and the run of the guilty request may be in the last report.
+   */
+  static final long DECISION_DELAY_MILLIS = 100;
 
   /** Maximum number of quarantines, not below that of suspected traits; the oldest are evicted. */
   static final int MAXIMUM_QUARANTINES = CrashEvidence.MAXIMUM_KEPT;
 
-  /** Broken runs whose targets are not known to have crashed, in order of arrival. */
-  private final Deque<CrashedRun> unconfirmed = new ArrayDeque<>();
-
-  /** When incarnations crashed, as far as that is known. */
-  private final Map<String, Long> crashedAt = new BoundedMap<>(CrashEvidence.MAXIMUM_KEPT);
-
+  private final UnconfirmedRuns unconfirmed = new UnconfirmedRuns();
   private final CrashEvidence evidence = new CrashEvidence();
   private final Map<Set<RequestTrait>, Quarantine> quarantines =
       new BoundedMap<>(MAXIMUM_QUARANTINES);
+
+  /** The crashed incarnations that quarantines explain; empty if they are to be worked out anew. */
+  private Optional<Set<String>> explained = Optional.empty();
+
+  /** When parts are to be judged by new evidence; {@link Long#MAX_VALUE} if there is none. */
+  private long decisionDueAt = Long.MAX_VALUE;
+
   private final Map<RequestTrait, Long> probedUntil = new BoundedMap<>(CrashEvidence.MAXIMUM_KEPT);
 
   /**
@@ -86,15 +75,7 @@
    * @return what to tell the other entries, if its target is known to have crashed
    */
   public synchronized CrashFindings onBroken(CrashedRun run) {
-    if (crashedAt.containsKey(run.targetIncarnation())) {
-      return isInFlightAtCrash(run) ? addAll(List.of(run)) : CrashFindings.NONE;
-    }
-    unconfirmed.removeIf(other -> run.brokenAt() - other.brokenAt() > UNCONFIRMED_MILLIS);
-    unconfirmed.addLast(run);
-    if (unconfirmed.size() > MAXIMUM_UNCONFIRMED) {
-      unconfirmed.removeFirst();
-    }
-    return CrashFindings.NONE;
+    return addAll(unconfirmed.onBroken(run));
   }
 
   /**
@@ -104,7 +85,7 @@
    * @return what to tell the other entries
    */
   public synchronized CrashFindings onCrashed(String targetIncarnation) {
-    return onCrashed(targetIncarnation, Long.MIN_VALUE);
+    return addAll(unconfirmed.onCrashed(targetIncarnation));
   }
 
   /**
@@ -115,28 +96,17 @@
    * @return what to tell the other entries
    */
   public synchronized CrashFindings onCrashed(String targetIncarnation, long at) {
-    crashedAt.putIfAbsent(targetIncarnation, at);
-    return addAll(takeUnconfirmed(targetIncarnation));
-  }
-
-  /** Removes the unconfirmed runs of an incarnation, and returns those that its crash ended. */
-  private List<CrashedRun> takeUnconfirmed(String targetIncarnation) {
-    List<CrashedRun> ranThere =
-        unconfirmed.stream()
-            .filter(run -> run.targetIncarnation().equals(targetIncarnation))
-            .toList();
-    unconfirmed.removeAll(ranThere);
-    return ranThere.stream().filter(this::isInFlightAtCrash).toList();
-  }
-
-  private boolean isInFlightAtCrash(CrashedRun run) {
-    long crash = crashedAt.get(run.targetIncarnation());
-    return crash == Long.MIN_VALUE || run.brokenAt() >= crash - COINCIDENCE_MILLIS;
+    return addAll(unconfirmed.onCrashed(targetIncarnation, at));
   }
 
   private CrashFindings addAll(Collection<CrashedRun> runs) {
     List<CrashedRun> added = runs.stream().flatMap(run -> evidence.add(run).stream()).toList();
-    return CrashFindings.of(added, List.of(), decide(added));
+    explained = Optional.empty();
+    added.stream()
+        .mapToLong(CrashedRun::brokenAt)
+        .max()
+        .ifPresent(brokenAt -> decisionDueAt = brokenAt + DECISION_DELAY_MILLIS);
+    return CrashFindings.of(added, List.of(), decideOnRequests(added));
   }
 
   /**
@@ -158,9 +128,7 @@
     CrashFindings found = addAll(report.runs());
     List<CrashedRun> ownRuns =
         report.runs().stream()
-            .map(CrashedRun::targetIncarnation)
-            .distinct()
-            .flatMap(incarnation -> takeUnconfirmedAtReportedCrash(incarnation, report))
+            .flatMap(run -> unconfirmed.onCrashed(run.targetIncarnation(), run.brokenAt()).stream())
             .toList();
     CrashFindings own = addAll(ownRuns);
     List<Quarantine> merged =
@@ -179,18 +147,6 @@
     return probe.until() - probedUntil.getOrDefault(probe.trait(), 0L) > PROBE_MILLIS / 2;
   }
 
-  private Stream<CrashedRun> takeUnconfirmedAtReportedCrash(
-      String incarnation, CrashFindings report) {
-    long at =
-        report.runs().stream()
-            .filter(run -> run.targetIncarnation().equals(incarnation))
-            .mapToLong(CrashedRun::brokenAt)
-            .max()
-            .orElse(Long.MIN_VALUE);
-    crashedAt.putIfAbsent(incarnation, at);
-    return takeUnconfirmed(incarnation).stream();
-  }
-
   private Stream<Clearing> answeredParts(RequestTraits request, long since) {
     return answered(request.parts(), since);
   }
@@ -217,7 +173,7 @@
         && known.workspaces().equals(merged.workspaces())) {
       return List.of();
     }
-    quarantines.put(unanswered, merged);
+    put(merged);
     return List.of(merged);
   }
 
@@ -236,11 +192,7 @@
             .filter(part -> clear(part, now))
             .map(part -> new Clearing(part, now))
             .toList();
-    return evidence.isEmpty() ? CrashFindings.of(List.of(), cleared, List.of()) : decided(cleared);
-  }
-
-  private CrashFindings decided(List<Clearing> cleared) {
-    return CrashFindings.of(List.of(), cleared, decide(List.of()));
+    return CrashFindings.of(List.of(), cleared, List.of());
   }
 
   /**
@@ -269,6 +221,7 @@
   /** Ends the suspicion of a trait at all; returns whether there was any. */
   private boolean clear(RequestTrait trait, long at) {
     boolean wasSuspected = evidence.clear(trait, at);
+    explained = wasSuspected ? Optional.empty() : explained;
     List<Quarantine> affected =
         quarantines.values().stream()
             .filter(each -> each.traits().contains(trait) && each.firstSentAt() <= at)
@@ -282,10 +235,11 @@
 
   private void removeFrom(Quarantine quarantine, RequestTrait trait) {
     quarantines.remove(quarantine.traits());
+    explained = Optional.empty();
     Set<RequestTrait> remaining = new HashSet<>(quarantine.traits());
     remaining.remove(trait);
     if (!remaining.isEmpty()) {
-      quarantines.put(Set.copyOf(remaining), quarantine.withTraits(remaining));
+      put(quarantine.withTraits(remaining));
     }
   }
 
@@ -329,7 +283,7 @@
    */
   public synchronized CrashFindings onSent(RequestTraits request, long now) {
     List<Quarantine> tried = quarantinesOf(request).map(RequestQuarantine::afterTrial).toList();
-    tried.forEach(each -> quarantines.put(each.traits(), each));
+    tried.forEach(this::put);
     List<Probe> probes =
         suspectedPartsOf(request).map(part -> new Probe(part, now + PROBE_MILLIS)).toList();
     probes.forEach(probe -> probedUntil.put(probe.trait(), probe.until()));
@@ -345,7 +299,8 @@
   }
 
   private Stream<Quarantine> quarantinesOf(RequestTraits request) {
-    return quarantines.values().stream().filter(each -> each.applies(request));
+    Set<RequestTrait> traits = request.all();
+    return quarantines.values().stream().filter(each -> each.applies(request.workspace(), traits));
   }
 
   /**
@@ -356,24 +311,30 @@
     if (!isWatching()) {
       return Stream.empty();
     }
-    Set<String> explained = explainedIncarnations();
     return request.parts().stream()
-        .filter(part -> isQuarantinedPart(part) || hasUnexplainedRun(part, explained));
-  }
-
-  private boolean hasUnexplainedRun(RequestTrait part, Set<String> explained) {
-    return evidence.runs(part).stream()
-        .anyMatch(run -> !explained.contains(run.targetIncarnation()));
+        .filter(
+            part ->
+                isInQuarantine(part) || evidence.runs(part).stream().anyMatch(this::isUnexplained));
   }
 
-  private boolean isQuarantinedPart(RequestTrait trait) {
+  private boolean isInQuarantine(RequestTrait trait) {
     return quarantines.keySet().stream().anyMatch(traits -> traits.contains(trait));
   }
 
-  /** Returns the crashed incarnations at which requests with a quarantined part ran. */
+  /** Returns the crashed incarnations at which requests ran that are quarantined for parts. */
   private Set<String> explainedIncarnations() {
-    return evidence.incarnations(
-        quarantines.keySet().stream().flatMap(Set::stream).filter(RequestTrait::isPart));
+    if (explained.isEmpty()) {
+      explained =
+          Optional.of(
+              quarantines.keySet().stream()
+                  .flatMap(evidence::incarnationsOfRunsWith)
+                  .collect(Collectors.toUnmodifiableSet()));
+    }
+    return explained.get();
+  }
+
+  private boolean isUnexplained(CrashedRun run) {
+    return !explainedIncarnations().contains(run.targetIncarnation());
   }
 
   /** Returns the number of successive crashes that a whole request is suspected of. */
@@ -396,58 +357,76 @@
     return CrashFindings.of(evidence.all(), List.of(), quarantines());
   }
 
-  private List<Quarantine> decide(Collection<CrashedRun> added) {
-    List<Quarantine> decided = new ArrayList<>();
+  /** Quarantines whole requests, and extends quarantines to further workspaces. */
+  private List<Quarantine> decideOnRequests(Collection<CrashedRun> added) {
+    List<Quarantine> decided = new ArrayList<>(widen(added));
     added.stream()
         .map(run -> RequestTrait.ofRequest(run.request().identity()))
         .distinct()
         .filter(
             request ->
                 evidence.successiveCrashes(request) >= CrashEvidence.REQUEST_CRASH_COUNT
-                    && !isQuarantinedPart(request))
+                    && !isInQuarantine(request))
         .forEach(request -> decided.add(quarantine(Set.of(request), evidence.runs(request))));
+    return decided;
+  }
+
+  /**
+   * Judges the parts by the evidence, if there is any that has not been judged. To be called before
+   * {@link #permission}.
+   *
+   * @return what to tell the other entries
+   */
+  public synchronized CrashFindings decide(long now) {
+    if (now < decisionDueAt) {
+      return CrashFindings.NONE;
+    }
+    expire(now);
+    List<Quarantine> decided = new ArrayList<>();
+    List<Clearing> lifted = new ArrayList<>();
     // Each quarantine explains crashes, which then no longer count against other parts.
-    Optional<RequestTrait> guilty = guiltiestPart();
+    PartBlame blame = new PartBlame(evidence, this::isUnexplained);
+    Optional<Set<RequestTrait>> guilty = blame.next();
     while (guilty.isPresent()) {
-      decided.add(quarantinePart(guilty.get()));
-      guilty = guiltiestPart();
+      Quarantine quarantine = quarantine(guilty.get(), evidence.runsWith(guilty.get()));
+      decided.add(quarantine);
+      lifted.addAll(liftExplainedBy(quarantine, now));
+      guilty = blame.next();
     }
-    decided.addAll(widen(added));
-    return decided;
+    if (!evidence.mayAnswersDecide(this::isUnexplained)) {
+      decisionDueAt = Long.MAX_VALUE;
+    }
+    return CrashFindings.of(List.of(), lifted, decided);
   }
 
-  private Optional<RequestTrait> guiltiestPart() {
-    Set<String> explained = explainedIncarnations();
-    Predicate<CrashedRun> counts = run -> !explained.contains(run.targetIncarnation());
-    return evidence
-        .suspectedParts()
-        .filter(part -> !isQuarantinedPart(part) && evidence.isGuilty(part, counts))
-        .max(
-            Comparator.<RequestTrait>comparingLong(
-                    part ->
-                        evidence.runs(part).stream()
-                            .filter(counts)
-                            .map(CrashedRun::targetIncarnation)
-                            .distinct()
-                            .count())
-                .thenComparing(evidence::answeredAt, Comparator.reverseOrder()));
-  }
-
-  /** Quarantines a part, with the parts that all requests with it had as their targets crashed. */
-  private Quarantine quarantinePart(RequestTrait part) {
-    List<CrashedRun> runs = evidence.runs(part);
-    Set<RequestTrait> common =
-        runs.stream()
-            .map(run -> run.request().parts())
-            .reduce(
-                runs.get(0).request().parts(),
-                (one, other) ->
-                    one.stream().filter(other::contains).collect(Collectors.toUnmodifiableSet()));
-    Set<RequestTrait> unanswered =
-        common.stream()
-            .filter(each -> !evidence.runs(each).isEmpty() && !isQuarantinedPart(each))
+  /** Forgets old evidence; to be called now and then while there is no new one. */
+  public synchronized void expire(long now) {
+    evidence.expire(now);
+    explained = Optional.empty();
+  }
+
+  /** Lifts quarantines that rest only on crashes which a new quarantine explains, and more. */
+  private List<Clearing> liftExplainedBy(Quarantine quarantine, long now) {
+    Set<String> explained =
+        evidence
+            .incarnationsOfRunsWith(quarantine.traits())
             .collect(Collectors.toUnmodifiableSet());
-    return quarantine(unanswered, runs);
+    List<Clearing> lifted =
+        quarantines.values().stream()
+            .filter(other -> !other.equals(quarantine))
+            .flatMap(other -> other.traits().stream())
+            .filter(RequestTrait::isPart)
+            .filter(part -> isExplained(part, explained))
+            .map(part -> new Clearing(part, now))
+            .toList();
+    lifted.forEach(each -> clear(each.trait(), now));
+    return lifted;
+  }
+
+  private boolean isExplained(RequestTrait part, Set<String> incarnations) {
+    Set<String> own =
+        evidence.incarnationsOfRunsWith(Set.of(part)).collect(Collectors.toUnmodifiableSet());
+    return !own.isEmpty() && own.size() < incarnations.size() && incarnations.containsAll(own);
   }
 
   private Quarantine quarantine(Set<RequestTrait> traits, List<CrashedRun> runs) {
@@ -461,10 +440,15 @@
             runs.stream().mapToLong(CrashedRun::sentAt).min().orElse(lastBrokenAt),
             0,
             lastBrokenAt + FIRST_TRIAL_MILLIS);
-    quarantines.put(decided.traits(), decided);
+    put(decided);
     return decided;
   }
 
+  private void put(Quarantine quarantine) {
+    quarantines.put(quarantine.traits(), quarantine);
+    explained = Optional.empty();
+  }
+
   /** Extends quarantines to the workspaces whose requests crashed further targets. */
   private List<Quarantine> widen(Collection<CrashedRun> added) {
     return added.stream()
@@ -474,7 +458,7 @@
                     .filter(each -> run.request().all().containsAll(each.traits()))
                     .filter(each -> !each.workspaces().contains(run.request().workspace()))
                     .map(each -> each.merge(withWorkspaceOf(each, run))))
-        .peek(each -> quarantines.put(each.traits(), each))
+        .peek(this::put)
         .toList();
   }
 
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -138,4 +139,143 @@
 
     assertThat(quarantine.all().runs()).hasSize(CrashEvidence.MAXIMUM_KEPT);
   }
+
+  private static RequestTraits withParts(String workspace, String body, String... parts) {
+    return new RequestTraits("s", workspace, identity(body), List.of(parts));
+  }
+
+  /** Crashes a target under one request, after sound ones were answered. */
+  private void crashUnder(int number, RequestTraits request) {
+    long at = 1_000L * number;
+    quarantine.onBroken(new CrashedRun(request, "t" + number, at, at + 100));
+    quarantine.onCrashed("t" + number, at + 100);
+    answerOthers(at + 300);
+    quarantine.decide(at + 400);
+  }
+
+  private void answerOthers(long at) {
+    IntStream.range(0, CrashEvidence.ANSWERS_OF_OTHERS)
+        .forEach(any -> quarantine.onAnswerBegun("s", Set.of(), at));
+  }
+
+  private void answer(long at, String part) {
+    quarantine.onAnswerBegun("s", Set.of(RequestTrait.ofPart("s", part)), at);
+  }
+
+  private SendPermission permission(RequestTraits request, long now) {
+    return quarantine.permission(request, false, now);
+  }
+
+  // Guards against a part that crashes targets in requests of which no two are alike.
+  @Test
+  void partIsQuarantinedAfterThreeSuccessiveCrashesWithoutAnswer() {
+    crashUnder(1, withParts("w", "1", "first", "bad"));
+    answer(1_500, "first");
+    crashUnder(2, withParts("w", "2", "first", "bad"));
+    assertThat(permission(withParts("w", "x", "bad"), 5_000)).isEqualTo(SendPermission.ALLOWED);
+    answer(2_500, "first");
+    crashUnder(3, withParts("w", "3", "other", "bad"));
+
+    assertThat(permission(withParts("w", "4", "new", "bad"), 5_000))
+        .isEqualTo(SendPermission.QUARANTINED);
+    assertThat(permission(withParts("w", "5", "first"), 5_000)).isEqualTo(SendPermission.ALLOWED);
+  }
+
+  // Guards against a quarantine of a part that crashes targets only sometimes or by chance.
+  @Test
+  void answerEndsCountOfCrashes() {
+    crashUnder(1, withParts("w", "1", "part"));
+    crashUnder(2, withParts("w", "2", "part"));
+    answer(2_600, "part");
+    crashUnder(3, withParts("w", "3", "part"));
+
+    assertThat(permission(withParts("w", "4", "part"), 5_000)).isEqualTo(SendPermission.ALLOWED);
+  }
+
+  // Guards against a quarantine of whatever is sent while a whole service answers nothing.
+  @Test
+  void noPartIsQuarantinedWhileNothingIsAnswered() {
+    IntStream.rangeClosed(1, 6)
+        .forEach(
+            number -> {
+              long at = 1_000L * number;
+              quarantine.onBroken(
+                  new CrashedRun(withParts("w", "" + number, "part"), "t" + number, at, at + 100));
+              quarantine.onCrashed("t" + number, at + 100);
+              quarantine.decide(at + 500);
+            });
+
+    assertThat(quarantine.quarantines()).isEmpty();
+  }
+
+  // Guards against sound requests refused because a part of theirs always came with a guilty one.
+  @Test
+  void partsThatCameTogetherAreQuarantinedTogetherUntilOneIsAnswered() {
+    IntStream.rangeClosed(1, 3)
+        .forEach(number -> crashUnder(number, withParts("w", "" + number, "first", "bad")));
+
+    assertThat(permission(withParts("w", "4", "first", "bad"), 5_000))
+        .isEqualTo(SendPermission.QUARANTINED);
+    assertThat(permission(withParts("w", "5", "first"), 5_000)).isEqualTo(SendPermission.ALLOWED);
+
+    answer(5_100, "first");
+    assertThat(permission(withParts("w", "6", "bad"), 5_200)).isEqualTo(SendPermission.QUARANTINED);
+  }
+
+  // Guards against several targets that end at once under requests with one suspected part.
+  @Test
+  void oneRequestWithSuspectedPartIsSentAtTimeAndNotRepeated() {
+    crashUnder(1, withParts("w", "1", "part"));
+    RequestTraits next = withParts("w", "2", "part");
+
+    assertThat(quarantine.onSent(next, 2_000).probes()).hasSize(1);
+    assertThat(permission(withParts("w", "3", "part"), 2_001)).isEqualTo(SendPermission.HELD);
+    assertThat(quarantine.mayRepeat(next)).isFalse();
+
+    answer(2_300, "part");
+    assertThat(permission(withParts("w", "3", "part"), 2_301)).isEqualTo(SendPermission.ALLOWED);
+    assertThat(quarantine.mayRepeat(next)).isTrue();
+  }
+
+  // Guards against a caller who names parts of another workspace in requests that crash targets.
+  @Test
+  void quarantineCoversOtherWorkspacesOnlyOnceTheyCrashTargets() {
+    IntStream.rangeClosed(1, 3)
+        .forEach(number -> crashUnder(number, withParts("w", "" + number, "part")));
+
+    assertThat(permission(withParts("w", "4", "part"), 5_000))
+        .isEqualTo(SendPermission.QUARANTINED);
+    assertThat(permission(withParts("v", "5", "part"), 5_000)).isEqualTo(SendPermission.ALLOWED);
+
+    crashUnder(6, withParts("v", "6", "part"));
+    assertThat(permission(withParts("u", "7", "part"), 7_000))
+        .isEqualTo(SendPermission.QUARANTINED);
+  }
+
+  // Guards against a quarantine that ends at one entry only, or that an operator can't end.
+  @Test
+  void answeredTrialAndOperatorLiftQuarantineEverywhere() {
+    RequestQuarantine other = new RequestQuarantine();
+    IntStream.rangeClosed(1, 3)
+        .forEach(number -> crashUnder(number, withParts("w", "" + number, "part")));
+    other.onReport(quarantine.all());
+    RequestTraits request = withParts("w", "4", "part");
+    assertThat(other.permission(request, false, 5_000)).isEqualTo(SendPermission.QUARANTINED);
+
+    other.onReport(quarantine.lift(RequestTrait.ofPart("s", "part"), 6_000));
+
+    assertThat(other.permission(request, false, 6_001)).isEqualTo(SendPermission.ALLOWED);
+    assertThat(permission(request, 6_001)).isEqualTo(SendPermission.ALLOWED);
+  }
+
+  // Guards against innocent parts that stay suspected at an entry that missed their answers.
+  @Test
+  void reportOfPartThatWasAnsweredSinceIsContradicted() {
+    answer(2_000, "part");
+    CrashedRun run = new CrashedRun(withParts("w", "1", "part"), "t", 1_900, 2_100);
+
+    assertThat(quarantine.onReport(report(run)).cleared())
+        .extracting(CrashFindings.Clearing::trait)
+        .containsExactly(RequestTrait.ofPart("s", "part"));
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -26,7 +26,9 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -52,11 +54,19 @@
    */
   private static final long FINDINGS_WAIT_MILLIS = 800;
 
+  /** Least time between two checks of a silent target, milliseconds. */
+  private static final long SILENT_CHECK_MILLIS = 2_000;
+
+  /** Interval between removals of old evidence, milliseconds. */
+  private static final long EXPIRY_INTERVAL_MILLIS = 10_000;
+
+  private final Map<InetSocketAddress, Long> silentChecks = new ConcurrentHashMap<>();
   private final RequestQuarantine quarantine = new RequestQuarantine();
   private final Consumer<Frame> broadcast;
   private final BooleanSupplier leads;
   private final Counter events;
   private volatile long findingsDueAt = Long.MIN_VALUE;
+  private volatile long expiryDueAt;
 
   /**
    * Creates a detector without suspicions, for an entry that makes trials.
@@ -101,6 +111,18 @@
     return now < findingsDueAt;
   }
 
+  /** Judges the evidence so far, and forgets what is old. To be called often. */
+  public void tick(long now) {
+    if (!quarantine.isWatching()) {
+      return;
+    }
+    publish(quarantine.decide(now));
+    if (now >= expiryDueAt) {
+      expiryDueAt = now + EXPIRY_INTERVAL_MILLIS;
+      quarantine.expire(now);
+    }
+  }
+
   /** Whether any request may be held back. */
   boolean isWatching() {
     return quarantine.isWatching();
@@ -108,11 +130,13 @@
 
   /** Returns whether a request may be sent for the first time. */
   SendPermission permission(RequestTraits request, long now) {
+    publish(quarantine.decide(now));
     return quarantine.permission(request, leads.getAsBoolean(), now);
   }
 
   /** Whether a request may be sent once more. */
   boolean mayRepeat(RequestTraits request) {
+    publish(quarantine.decide(MonotonicClock.millis()));
     return quarantine.mayRepeat(request);
   }
 
@@ -138,6 +162,43 @@
    */
   void onBroken(EventLoop loop, CrashedRun run, InetSocketAddress address, Runnable next) {
     publish(quarantine.onBroken(run));
+    connect(
+        loop,
+        run,
+        address,
+        cause -> {
+          if (isRefused(cause)) {
+            publish(quarantine.onCrashed(run.targetIncarnation(), run.brokenAt()));
+          }
+          loop.execute(next);
+        });
+  }
+
+  /**
+   * Notes that an unanswered run was given up at a target that is silent, and checks whether its
+   * host is. At most one check of a target is under way in {@link #SILENT_CHECK_MILLIS}.
+   */
+  void onSilent(EventLoop loop, CrashedRun run, InetSocketAddress address) {
+    publish(quarantine.onBroken(run));
+    long due = run.brokenAt() - SILENT_CHECK_MILLIS;
+    if (silentChecks.merge(address, run.brokenAt(), (last, now) -> last > due ? last : now)
+        != run.brokenAt()) {
+      return;
+    }
+    connect(
+        loop,
+        run,
+        address,
+        cause -> {
+          if (cause instanceof ConnectException) {
+            publish(quarantine.onCrashed(run.targetIncarnation(), run.brokenAt()));
+          }
+          silentChecks.values().removeIf(at -> at <= due);
+        });
+  }
+
+  private static void connect(
+      EventLoop loop, CrashedRun run, InetSocketAddress address, Consumer<Throwable> onResult) {
     new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -148,10 +209,7 @@
             (ChannelFuture connected) -> {
               connected.channel().close();
               logCheck(run, connected.cause());
-              if (isRefused(connected.cause())) {
-                publish(quarantine.onCrashed(run.targetIncarnation(), run.brokenAt()));
-              }
-              loop.execute(next);
+              onResult.accept(connected.cause());
             });
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashGuard.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashGuard.java
@@ -19,6 +19,9 @@
  * its runs. Runs on the event loop of the caller's connection; not thread-safe.
  */
 final class CrashGuard {
+  /** How long a target must have been silent to be checked when a run is given up, milliseconds. */
+  private static final long SILENT_MILLIS = 1_500;
+
   private final CrashDetector crashes;
   private final FullHttpRequest request;
   private final Routing.Routed routed;
@@ -91,10 +94,16 @@
 
   /**
    * Takes in that an unanswered run was given up. If its target turns out to have crashed, it was
-   * perhaps the cause.
+   * perhaps the cause; a target that has been silent for long is checked at once.
    */
-  void onAbandoned(TargetDirectory.ListedTarget target, long sentAt) {
-    crashes.onAbandoned(run(target, sentAt, false));
+  void onAbandoned(EventLoop loop, TargetDirectory.ListedTarget target, long sentAt, long now) {
+    CrashedRun run = run(target, sentAt, false);
+    boolean isSilent = now - sentAt >= SILENT_MILLIS && !target.load().hasAnsweredSince(sentAt);
+    if (isSilent && !promptParts.isEmpty()) {
+      crashes.onSilent(loop, run, target.address());
+    } else {
+      crashes.onAbandoned(run);
+    }
   }
 
   /** Returns why the request is quarantined, for the log. */
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -475,7 +475,7 @@
         return;
       }
       end("silent");
-      guard.onAbandoned(target, sentAt);
+      guard.onAbandoned(loop, target, sentAt, now);
       target.load().onAnswer(false, now);
       runs++;
       log.attemptFailed(
@@ -499,7 +499,7 @@
 
     void cancel() {
       if (!hasBegun()) {
-        guard.onAbandoned(target, sentAt);
+        guard.onAbandoned(loop, target, sentAt, MonotonicClock.millis());
       }
       end("cancelled");
     }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -361,6 +361,7 @@
     try {
       mesh.tick(now);
       targets.tick(now);
+      crashes.tick(now);
       Set<String> stayingHosts = mesh.stayingHosts(now);
       limits.tick(stayingHosts, now);
       remembered.onHeard(stayingHosts, now);
