--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
@@ -43,6 +43,7 @@
   private static final long FORMATION = 600;
   private static final long STALL = 1_500;
   private static final long PATIENCE = 2_000;
+  private static final long CHECK = 100;
   private static final long HELD_CHECK = 60;
   private static final long LONGEST_HELD = 1_000;
   private static final long ANNOUNCEMENT = 400;
@@ -82,7 +83,8 @@
    * What a run came to.
    *
    * @param crashes targets that ended under guilty requests
-   * @param arrivalsAfterBound guilty requests that reached targets later than allowed
+   * @param arrivalsAfterBound guilty requests that reached targets later than allowed, sent by
+   *     entries that had neither started nor stood still shortly before
    * @param soundOffered sound requests while the service had room
    * @param soundQuarantined sound requests refused for good
    * @param soundSuspected sound requests told to come back
@@ -108,7 +110,8 @@
     private final int number;
     private PartPolicy policy = policies.get();
     private boolean isUp = true;
-    private long frozenUntil;
+    private long frozenUntil = -BOUND_AFTER_MILLIS;
+    private long startedAt = -BOUND_AFTER_MILLIS;
     private int incarnation;
 
     Entry(int number) {
@@ -119,6 +122,11 @@
       return isUp && now() >= frozenUntil;
     }
 
+    /** Whether it has run without a start or a standstill for as long as the bound demands. */
+    private boolean isInTouch() {
+      return now() - Math.max(startedAt, frozenUntil) >= BOUND_AFTER_MILLIS;
+    }
+
     private boolean isLinkedTo(Entry other) {
       return isUp && other.isUp && (!isCut || number % 2 == other.number % 2);
     }
@@ -160,6 +168,7 @@
           () -> {
             policy = policies.get();
             isUp = true;
+            startedAt = now();
             entries.stream()
                 .filter(other -> !other.equals(this) && isLinkedTo(other))
                 .findFirst()
@@ -346,6 +355,7 @@
     if (request.isAbandoned()) {
       return;
     }
+    request.entry.broadcast(request.entry.policy.decide(now()));
     SendPermission permission =
         request.entry.policy.permission(request.traits, request.entry.leads(), now());
     if (permission == SendPermission.ALLOWED) {
@@ -371,7 +381,7 @@
     request.runs++;
     request.entry.broadcast(request.entry.policy.onSent(request.traits, now()));
     Run run = new Run(request, now());
-    if (request.isGuilty) {
+    if (request.isGuilty && request.entry.isInTouch()) {
       guiltyArrivals.add(now());
     }
     target.runs.add(run);
@@ -422,7 +432,11 @@
     if (!run.hasBegun && target.runs.remove(run) && !run.request.isAbandoned()) {
       run.request.isOver = true;
       Entry entry = run.request.entry;
-      entry.broadcast(entry.policy.onAbandoned(crashedRun(target.name(), run)));
+      CrashedRun abandoned = crashedRun(target.name(), run);
+      entry.broadcast(entry.policy.onAbandoned(abandoned));
+      if (now() < target.upAt) {
+        after(CHECK, () -> entry.broadcast(entry.policy.onCrash(List.of(abandoned))));
+      }
     }
   }
 
--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
@@ -39,6 +39,9 @@
 
   CrashFindings onReport(CrashFindings report);
 
+  /** Judges by the evidence so far. */
+  CrashFindings decide(long now);
+
   /** Returns all that an entry that starts has to know. */
   CrashFindings all();
 
@@ -124,6 +127,11 @@
       return quarantine.onReport(report);
     }
 
+    @Override
+    public CrashFindings decide(long now) {
+      return quarantine.decide(now);
+    }
+
     @Override
     public CrashFindings all() {
       return quarantine.all();
@@ -208,6 +216,11 @@
       return CrashFindings.NONE;
     }
 
+    @Override
+    public CrashFindings decide(long now) {
+      return CrashFindings.NONE;
+    }
+
     @Override
     public CrashFindings all() {
       return CrashFindings.NONE;
