--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
@@ -23,8 +23,7 @@
   /**
    * A trait that is no longer suspected.
    *
-   * @param at when a target began to answer a request that has it, or when an operator lifted its
-   *     quarantine
+   * @param at when a target began to answer a request that has it
    */
   public record Clearing(RequestTrait trait, long at) {}
 
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -207,17 +207,6 @@
         : CrashFindings.NONE;
   }
 
-  /**
-   * Lifts the quarantines that a trait is part of, and ends the suspicion of it.
-   *
-   * @return what to tell the other entries
-   */
-  public synchronized CrashFindings lift(RequestTrait trait, long now) {
-    return clear(trait, now)
-        ? CrashFindings.of(List.of(), List.of(new Clearing(trait, now)), List.of())
-        : CrashFindings.NONE;
-  }
-
   /** Ends the suspicion of a trait at all; returns whether there was any. */
   private boolean clear(RequestTrait trait, long at) {
     boolean wasSuspected = evidence.clear(trait, at);
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -252,20 +252,27 @@
         .isEqualTo(SendPermission.QUARANTINED);
   }
 
-  // Guards against a quarantine that ends at one entry only, or that an operator can't end.
+  // Guards against a quarantine that ends at one entry only.
   @Test
-  void answeredTrialAndOperatorLiftQuarantineEverywhere() {
+  void answeredTrialEndsQuarantineEverywhere() {
     RequestQuarantine other = new RequestQuarantine();
     IntStream.rangeClosed(1, 3)
         .forEach(number -> crashUnder(number, withParts("w", "" + number, "part")));
     other.onReport(quarantine.all());
     RequestTraits request = withParts("w", "4", "part");
-    assertThat(other.permission(request, false, 5_000)).isEqualTo(SendPermission.QUARANTINED);
+    long trialAt = 3_100 + RequestQuarantine.FIRST_TRIAL_MILLIS;
+    assertThat(other.permission(request, false, trialAt)).isEqualTo(SendPermission.QUARANTINED);
+    assertThat(quarantine.permission(request, true, trialAt)).isEqualTo(SendPermission.ALLOWED);
 
-    other.onReport(quarantine.lift(RequestTrait.ofPart("s", "part"), 6_000));
+    other.onReport(quarantine.onSent(request, trialAt));
+    assertThat(other.permission(request, true, trialAt + 1))
+        .as("beside the trial")
+        .isEqualTo(SendPermission.QUARANTINED);
+    other.onReport(
+        quarantine.onAnswerBegun("s", Set.of(RequestTrait.ofPart("s", "part")), trialAt + 300));
 
-    assertThat(other.permission(request, false, 6_001)).isEqualTo(SendPermission.ALLOWED);
-    assertThat(permission(request, 6_001)).isEqualTo(SendPermission.ALLOWED);
+    assertThat(other.permission(request, false, trialAt + 301)).isEqualTo(SendPermission.ALLOWED);
+    assertThat(permission(request, trialAt + 301)).isEqualTo(SendPermission.ALLOWED);
   }
 
   // Guards against innocent parts that stay suspected at an entry that missed their answers.
