--- a/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
@@ -23,12 +23,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class RequestRunnerTest {
   private static final Instant START = Instant.parse("2026-03-01T22:00:00Z");
   private static final Instant DEADLINE = START.plusSeconds(60);
 
+  private static final int TARGETS = 12;
+
+  /** Most targets that may end under one request. */
+  private static final int MAXIMUM_CRASHES = 5;
+
   private Instant now = START;
   private final List<ScheduledTask> scheduledTasks = new ArrayList<>();
   private final List<ResultCode> finished = new ArrayList<>();
@@ -134,6 +140,26 @@
     assertThat(answer.events).containsExactly("0:half", "restart", "0:all", "end 1");
   }
 
+  // Guards against a request that ends each target which runs it and is sent to one after the
+  // other.
+  @Test
+  void requestThatEndsItsTargetsReachesFewOfThem() {
+    List<FakeAgent> agents =
+        IntStream.range(0, TARGETS).mapToObj(number -> agent("model-" + number, 1)).toList();
+
+    IntStream.range(0, TARGETS)
+        .forEach(
+            any -> {
+              start(Repeatability.MAY_BE_REPEATED, false);
+              agents.stream()
+                  .filter(agent -> agent.link.isOpen() && !agent.dispatches().isEmpty())
+                  .forEach(FakeAgent::disconnect);
+            });
+
+    assertThat(agents.stream().filter(agent -> !agent.dispatches().isEmpty()))
+        .hasSizeLessThanOrEqualTo(MAXIMUM_CRASHES);
+  }
+
   @Test
   void requestRefusedByLeavingTargetMovesToAnotherTarget() {
     FakeAgent first = agent("model-1", 1);
