--- a/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
@@ -124,18 +124,6 @@
     }
   }
 
-  private static final class NeverStops implements StopPlan {
-    @Override
-    public boolean isLeaving() {
-      return false;
-    }
-
-    @Override
-    public boolean mayInterrupt(long deadline) {
-      return false;
-    }
-  }
-
   /** Starts one more entry, which gets the findings of the others before it serves. */
   void addEntry() throws IOException {
     Entry added = new Entry();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -141,18 +141,6 @@
         false);
   }
 
-  private static final class NeverStops implements StopPlan {
-    @Override
-    public boolean isLeaving() {
-      return false;
-    }
-
-    @Override
-    public boolean mayInterrupt(long deadline) {
-      return false;
-    }
-  }
-
   @AfterEach
   void stop() throws IOException {
     server.close();
