Keep traits in order, so that equal histories lead to equal decisions

Entries with the same evidence could decide differently, too. Sets of traits now keep the order of the request, those of a quarantine are sorted.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -43,9 +42,9 @@
 
   /** Returns a part with those that the crashes don't tell from it. */
   private Set<RequestTrait> withUndecided(RequestTrait part) {
-    return Stream.concat(commonParts(evidence.runs(part)), companions(part))
-        .filter(each -> !evidence.runs(each).isEmpty())
-        .collect(Collectors.toUnmodifiableSet());
+    return RequestTraits.inOrder(
+        Stream.concat(commonParts(evidence.runs(part)), companions(part))
+            .filter(each -> !evidence.runs(each).isEmpty()));
   }
 
   /** Returns the parts that all of some requests have. */
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/Quarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/Quarantine.java
@@ -1,5 +1,6 @@
 package dev.ibishub.core.serving.crashes;
 
+import java.util.Comparator;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -23,9 +24,14 @@
     long firstSentAt,
     int trials,
     long nextTrialAt) {
+  private static final Comparator<RequestTrait> BY_ID =
+      Comparator.comparing(RequestTrait::kind)
+          .thenComparing(RequestTrait::service)
+          .thenComparing(RequestTrait::id);
+
   /** Checks that there is a trait. */
   public Quarantine {
-    traits = Set.copyOf(traits);
+    traits = RequestTraits.inOrder(traits.stream().sorted(BY_ID));
     workspaces = Set.copyOf(workspaces);
     if (traits.isEmpty()) {
       throw new IllegalArgumentException("expected one or more traits");
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestTraits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestTraits.java
@@ -1,5 +1,7 @@
 package dev.ibishub.core.serving.crashes;
 
+import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -27,15 +29,18 @@
 
   /** Returns the traits of the prompt's parts. */
   public Set<RequestTrait> parts() {
-    return partIds.stream()
-        .map(id -> RequestTrait.ofPart(service, id))
-        .collect(Collectors.toUnmodifiableSet());
+    return inOrder(partIds.stream().map(id -> RequestTrait.ofPart(service, id)));
   }
 
   /** Returns all traits. */
   public Set<RequestTrait> all() {
-    return Stream.concat(Stream.of(RequestTrait.ofRequest(identity)), parts().stream())
-        .collect(Collectors.toUnmodifiableSet());
+    return inOrder(Stream.concat(Stream.of(RequestTrait.ofRequest(identity)), parts().stream()));
+  }
+
+  /** Returns a set that keeps its order, as equal histories have to lead to equal decisions. */
+  static Set<RequestTrait> inOrder(Stream<RequestTrait> traits) {
+    Set<RequestTrait> ordered = traits.collect(Collectors.toCollection(LinkedHashSet::new));
+    return Collections.unmodifiableSet(ordered);
   }
 
   /** Returns these traits without the parts that don't match. */
