Let the others settle before the entry of the joining test starts

Traced by its logs: entry-3 started 0.73 s after entry-1 (11.410 and 10.676) and logged retry.refused with incarnations 0 at 11.919. It now waits until one of them has taken the lead, which comes 0.8 s after its start; its checks are the same.

--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -222,10 +222,17 @@
   // Guards against 503 at an entry that has no retry for a whole window after it joined the others.
   @Test
   void targetThatIsGoneCostsNoRequestAtEntryThatJoined() throws IOException, InterruptedException {
+    // Entries that start within moments of each other have no part of the retries until they
+    // settle.
+    deployment.await("others settled", () -> hasTakenLead("entry-1") || hasTakenLead("entry-2"));
     startLater("entry-3", "127.0.1.3");
     assertLostTargetCostsNoRequest("entry-3", "entry-3");
   }
 
+  private boolean hasTakenLead(String entry) throws IOException {
+    return deployment.logOf(entry).contains("lead.taken");
+  }
+
   private void assertLostTargetCostsNoRequest(String entry, String entryForCallsThatRunOnce)
       throws IOException, InterruptedException {
     first.close();
