--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -55,7 +55,7 @@
     Kit.Replica faulty =
         new Kit.Replica(
             "i-faulty",
-            "127.0.20.1",
+            "127.0.21.1",
             (request, out, channel) -> {
               boolean breaks =
                   Kit.isTrouble() && ranAtFaulty.incrementAndGet() % BREAK_EVERY == 0;
@@ -67,7 +67,7 @@
     Kit.Replica sound =
         new Kit.Replica(
             "i-sound",
-            "127.0.20.2",
+            "127.0.21.2",
             (request, out, channel) -> {
               ran.incrementAndGet();
               record.line("run %s at i-sound", request.attemptId());
@@ -76,11 +76,11 @@
     store.put("keyed.op", "config", configuration());
     store.put("keyed.servers", faulty.id, faulty.announcement("panel-app", "ready", 6, 1));
     store.put("keyed.servers", sound.id, sound.announcement("panel-app", "ready", 6, 1));
-    List<String> seeds = List.of("127.0.10.1:" + site.linkPort);
+    List<String> seeds = List.of("127.0.11.1:" + site.linkPort);
     List<Map<String, Object>> entries =
         List.of(
-            site.startEntry("edge-1", "127.0.10.1", store.address(), seeds),
-            site.startEntry("edge-2", "127.0.10.2", store.address(), seeds));
+            site.startEntry("edge-1", "127.0.11.1", store.address(), seeds),
+            site.startEntry("edge-2", "127.0.11.2", store.address(), seeds));
     Kit.awaitReady(entries, 20_000);
     Thread.sleep(3_000);
 
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -9,11 +9,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URI;
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -32,7 +31,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -92,6 +93,9 @@
 
   // ---------------------------------------------------------------- processes
 
+  /** Bounds that differ from those of the small sites; set before the first start. */
+  static final Map<String, Object> BOUNDS = new HashMap<>();
+
   /** The settings fields of one machine, as DEPLOY.md lists them. */
   static Map<String, Object> fields(String node, String zone, String ip, String storeAddress) {
     Map<String, Object> fields = new HashMap<>();
@@ -107,6 +111,7 @@
     bounds.put("retry_budget_slack", 88);
     bounds.put("budget_window_s", 10);
     bounds.put("ttl_max_s", 5);
+    bounds.putAll(BOUNDS);
     fields.put("bounds", bounds);
     Map<String, Object> platform = new HashMap<>();
     platform.put("address", storeAddress);
@@ -132,15 +137,20 @@
       Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
     }
 
-    /** Returns a port that is free on all of the loopback addresses. */
+    /**
+     * Returns a port that is free on all of the loopback addresses. It is below the ports that the
+     * system gives to clients, so that a process that restarts can have it again.
+     */
     synchronized int freePort() throws IOException {
       while (true) {
+        int port = 20_000 + ThreadLocalRandom.current().nextInt(10_000);
         try (ServerSocket socket = new ServerSocket()) {
-          socket.bind(new InetSocketAddress("0.0.0.0", 0));
-          int port = socket.getLocalPort();
+          socket.bind(new InetSocketAddress("0.0.0.0", port));
           if (taken.add(port)) {
             return port;
           }
+        } catch (BindException e) {
+          // Taken; the next one may be free.
         }
       }
     }
@@ -344,15 +354,19 @@
   static final class Store implements AutoCloseable {
     private record Stored(String key, byte[] value) {}
 
-    /** Told of each page of the newest records before the next one may be asked for. */
-    interface PageListener {
-      void onPage(String topic, String after, boolean hasMore);
-    }
-
     private final Map<String, List<Stored>> topics = new HashMap<>();
     private final HttpServer server;
     private final int pageSize;
-    volatile PageListener pageListener = (topic, after, hasMore) -> {};
+
+    /** Time that each answer takes, milliseconds. */
+    volatile long answerMillis;
+
+    /** Where pages of the newest records are noted, if at all. */
+    volatile Record record;
+
+    /** When the last first page of a topic was asked for, milliseconds of the wall clock. */
+    final Map<String, Long> firstPageAt = new ConcurrentHashMap<>();
+
 
     Store(int pageSize) throws IOException {
       this.pageSize = pageSize;
@@ -391,6 +405,7 @@
       }
       try {
         byte[] body = handler.handle(exchange, query);
+        Thread.sleep(answerMillis);
         exchange.sendResponseHeaders(200, body.length == 0 ? -1 : body.length);
         exchange.getResponseBody().write(body);
       } catch (Exception e) {
@@ -427,6 +442,9 @@
     private byte[] newest(HttpExchange exchange, Map<String, String> query) {
       String topic = query.get("topic");
       String after = query.getOrDefault("after", "");
+      if (after.isEmpty()) {
+        firstPageAt.put(topic, System.currentTimeMillis());
+      }
       StringBuilder items = new StringBuilder();
       boolean hasMore = false;
       long end;
@@ -452,7 +470,9 @@
               .append("\",\"offset\":" + each.getValue() + "}");
         }
       }
-      pageListener.onPage(topic, after, hasMore);
+      if (record != null) {
+        record.line("page of %s after '%s', end %d, more %s", topic, after, end, hasMore);
+      }
       return ("{\"items\":[" + items + "],\"has_more\":" + hasMore + ",\"end\":" + end + "}")
           .getBytes(StandardCharsets.UTF_8);
     }
