--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -37,6 +38,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
  * What the scripts of this review share: the project's programs as processes, started with the
@@ -253,9 +255,20 @@
               });
     }
 
+    /** Ends all processes and removes the folder with their settings and logs. */
     @Override
-    public void close() {
+    public void close() throws IOException {
       endAll();
+      if (System.getenv("KEEP") != null) {
+        System.out.println("logs are in " + folder);
+        return;
+      }
+      try (Stream<Path> files = Files.list(folder)) {
+        for (Path file : files.toList()) {
+          Files.delete(file);
+        }
+      }
+      Files.delete(folder);
     }
   }
 
@@ -653,7 +666,7 @@
     String end = "";
   }
 
-  /** Reads an answer; {@code pace} is told of each read, and may wait. */
+  /** Reads an answer. A timeout of the channel is passed on; another early end is noted. */
   static Answer readAnswer(InputStream in) throws IOException {
     Answer answer = new Answer();
     ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -696,6 +709,8 @@
         }
       }
       answer.isComplete = true;
+    } catch (SocketTimeoutException e) {
+      throw e;
     } catch (IOException e) {
       answer.end = String.valueOf(e.getMessage());
     }
