--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,54 +1,56 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Many callers send bodies within max_body_bytes at once; the others wait for their answers. */
+/** Replicas leave while all entries restart; afterwards none of them may get a request. */
 public final class Case3 {
-  private static final String HOST = "panel.example";
-  private static final int ENTRIES = 6;
+  private static final String HOST = "pages.example";
+  private static final String SERVICE = "lexweb";
+  private static final int ENTRIES = 3;
+  private static final int REPLICAS = 66;
 
-  /** Together 153 clients: 1.7 times the 90 of the site. */
-  private static final int SENDERS = 120;
+  /** Replicas that leave in a round: 0.15 of them. */
+  private static final int LEAVING = 10;
 
-  private static final int READERS = 33;
+  /** Every third of these reports no draining; its entry is removed, and it goes on serving. */
+  private static final int ABRUPT_EVERY = 3;
 
-  /** Less than half of max_body_bytes. */
-  private static final int BODY_BYTES = 2_000_000;
+  private static final long LEAVING_GAP_MILLIS = 40;
+  private static final long HEARTBEAT_MILLIS = 1_200;
+  private static final int ROUNDS = 7;
+  private static final int CLIENTS = 12;
 
-  private static final int USUAL_BODY_BYTES = 600;
+  /** Time between two requests of a client, milliseconds; 12 clients send some 150 a second. */
+  private static final long PAUSE_MILLIS = 30;
 
-  /** Each sender's link takes 400 kB a second. */
-  private static final int PIECE_BYTES = 40_000;
+  /** What a request takes at a replica, milliseconds. */
+  private static final long WORK_MILLIS = 60;
 
-  private static final long PIECE_MILLIS = 100;
-  private static final long PLAY_MILLIS = 20_000;
-  private static final int TIMEOUT_MILLIS = 1_500;
-  private static final int LATE_MILLIS = 500;
-  private static final int SENDER_TIMEOUT_MILLIS = 8_000;
-  private static final long READER_PAUSE_MILLIS = 40;
+  private static final long DRAIN_MILLIS = 3_000;
 
-  /** How long a reader waits before its request counts as never answered, milliseconds. */
-  private static final int NEVER_MILLIS = 15_000;
+  /** Time after which a machine that was started is in touch, and a little. */
+  private static final long TOUCH_MILLIS = 4_200;
 
   private final Kit.Record record;
-  private final AtomicInteger bodies = new AtomicInteger();
-  private final AtomicInteger closedBodies = new AtomicInteger();
-  private final AtomicInteger otherBodies = new AtomicInteger();
-  private final AtomicInteger reads = new AtomicInteger();
-  private final AtomicInteger answeredReads = new AtomicInteger();
-  private final AtomicInteger overdue = new AtomicInteger();
-  private final AtomicInteger unanswered = new AtomicInteger();
-  private final AtomicInteger never = new AtomicInteger();
+  private final Random random = new Random(7);
+  private final Map<String, Long> goneAt = new ConcurrentHashMap<>();
+  private final AtomicInteger answered = new AtomicInteger();
+  private final AtomicInteger other = new AtomicInteger();
+  private final AtomicInteger late = new AtomicInteger();
+  private final List<Kit.Replica> replicas = new ArrayList<>();
+  private final Map<Kit.Replica, String> stateOf = new ConcurrentHashMap<>();
+  private final AtomicInteger sequence = new AtomicInteger();
+  private long startMillis;
+  private volatile boolean isJudged;
 
   private Case3(Kit.Record record) {
     this.record = record;
@@ -68,140 +70,192 @@
   }
 
   private int run(Kit.Site site) throws Exception {
-    Kit.Store store = new Kit.Store(500);
+    Kit.BOUNDS.putAll(
+        Map.of("drain_ms", DRAIN_MILLIS, "config_apply_ms", 3_000, "retry_budget_slack", 232));
+    Kit.Store store = new Kit.Store(50);
     store.answerMillis = 4;
-    for (int number = 1; number <= 3; number++) {
-      String id = "i-" + number;
-      Kit.Replica replica =
-          new Kit.Replica(
-              id, "127.0.23." + number, (request, out, channel) -> answer(request, out, id));
-      store.put("keyed.servers", id, replica.announcement("panel-app", "ready", 6, 1));
-    }
+    store.record = record;
     store.put("keyed.op", "config", configuration());
+    for (int i = 0; i < REPLICAS; i++) {
+      startReplica(store);
+    }
+    Kit.daemon(() -> beat(store)).start();
     List<String> seeds = List.of("127.0.13.1:" + site.linkPort);
+    long startedAt = System.currentTimeMillis();
     List<Map<String, Object>> entries = new ArrayList<>();
     for (int number = 1; number <= ENTRIES; number++) {
       entries.add(
           site.startEntry("edge-" + number, "127.0.13." + number, store.address(), seeds));
     }
     Kit.awaitReady(entries, 20_000);
+    startMillis = store.firstPageAt.get("keyed.servers") - startedAt;
+    record.line("an entry asks for the replicas %d ms after its start", startMillis);
     Thread.sleep(4_000);
-    long until = System.currentTimeMillis() + PLAY_MILLIS;
+    for (int round = 1; round <= ROUNDS; round++) {
+      round(site, store, entries, round);
+    }
+    record.say(
+        "%d requests answered with 200, %d not; %d reached a replica later than %d ms after it was"
+            + " draining or gone",
+        answered.get(), other.get(), late.get(), DRAIN_MILLIS);
+    if (answered.get() < 300) {
+      record.say("could not run: too few answers");
+      return Kit.NOT_RUN;
+    }
+    record.say(late.get() > 0 ? "DRAIN is broken" : "DRAIN held");
+    return late.get() > 0 ? Kit.BROKEN : Kit.HELD;
+  }
+
+  private void round(
+      Kit.Site site, Kit.Store store, List<Map<String, Object>> entries, int round)
+      throws Exception {
+    record.line("round %d", round);
+    int lateBefore = late.get();
+    long restartedAt = 0;
+    if (Kit.isTrouble()) {
+      for (int number = 1; number <= ENTRIES; number++) {
+        site.signal("edge-" + number, "KILL");
+      }
+      Thread.sleep(1_000);
+      restartedAt = System.currentTimeMillis();
+      for (int number = 1; number <= ENTRIES; number++) {
+        site.restart("edge-" + number, "entry");
+      }
+    }
+    // The replicas leave over 0.4 s, around the time at which the entries come back.
+    Thread.sleep(Math.max(0, startMillis - LEAVING * LEAVING_GAP_MILLIS / 2));
+    Collections.shuffle(replicas, random);
+    List<Kit.Replica> leaving = new ArrayList<>(replicas.subList(0, LEAVING));
+    replicas.removeAll(leaving);
+    for (int i = 0; i < LEAVING; i++) {
+      leave(store, leaving.get(i), i % ABRUPT_EVERY == 1);
+      Thread.sleep(LEAVING_GAP_MILLIS);
+    }
+    Kit.awaitReady(entries, 20_000);
+    if (Kit.isTrouble()) {
+      startMillis = store.firstPageAt.get("keyed.servers") - restartedAt;
+      record.line("an entry asks for the replicas %d ms after its start", startMillis);
+    }
+    Thread.sleep(TOUCH_MILLIS);
+    isJudged = true;
+    long until = System.currentTimeMillis() + 4_000;
     List<Thread> clients = new ArrayList<>();
-    for (int number = 0; number < SENDERS; number++) {
-      InetSocketAddress entry = Kit.listening(entries.get(number % ENTRIES), "frontend");
-      clients.add(Kit.daemon(() -> sendBodies(entry, until)));
+    for (int i = 0; i < CLIENTS; i++) {
+      InetSocketAddress entry = Kit.listening(entries.get(i % ENTRIES), "frontend");
+      Thread client = Kit.daemon(() -> send(entry, until));
+      clients.add(client);
+      client.start();
     }
-    for (int number = 0; number < READERS; number++) {
-      InetSocketAddress entry = Kit.listening(entries.get(number % ENTRIES), "frontend");
-      clients.add(Kit.daemon(() -> read(entry, until)));
+    Thread.sleep(2_500);
+    for (Kit.Replica each : leaving) {
+      stateOf.remove(each);
+      store.put("keyed.servers", each.id, "");
+      each.exit();
+      record.line("%s exits", each.id);
     }
-    clients.forEach(Thread::start);
     for (Thread client : clients) {
-      client.join(40_000);
+      client.join();
     }
-    record.say(
-        "bodies: %d answered with 200, %d channels closed without an answer, %d other",
-        bodies.get(), closedBodies.get(), otherBodies.get());
-    record.say(
-        "reads: %d, %d answered with 200; %d had no answer at their route's timeout_ms, %d of these"
-            + " none %d ms later, %d none within %d ms",
-        reads.get(),
-        answeredReads.get(),
-        overdue.get(),
-        unanswered.get(),
-        LATE_MILLIS,
-        never.get(),
-        NEVER_MILLIS);
-    if (reads.get() < 300) {
-      record.say("could not run: too few reads");
-      return Kit.NOT_RUN;
+    isJudged = false;
+    record.say("round %d: %d late requests", round, late.get() - lateBefore);
+    for (int i = 0; i < LEAVING; i++) {
+      startReplica(store);
     }
-    boolean isBroken = unanswered.get() >= 8 && unanswered.get() * 2 > overdue.get();
-    record.say(isBroken ? "CONFIG is broken" : "CONFIG held");
-    return isBroken ? Kit.BROKEN : Kit.HELD;
+    Thread.sleep(1_000);
   }
 
-  private void sendBodies(InetSocketAddress entry, long until) {
-    byte[] body = new byte[Kit.isTrouble() ? BODY_BYTES : USUAL_BODY_BYTES];
-    Arrays.fill(body, (byte) 'a');
-    while (System.currentTimeMillis() < until) {
-      String attemptId = Kit.newAttemptId();
-      record.line("send %s to %s with a body of %d bytes", attemptId, entry, body.length);
-      try (Socket socket = new Socket()) {
-        socket.connect(entry, 1_000);
-        socket.setSoTimeout(SENDER_TIMEOUT_MILLIS + 1_000);
-        OutputStream out = socket.getOutputStream();
-        out.write(
-            Kit.head(
-                "POST",
-                "/survey/a",
-                Kit.requestHeaders(HOST, attemptId, SENDER_TIMEOUT_MILLIS),
-                body.length));
-        for (int at = 0; at < body.length; at += PIECE_BYTES) {
-          out.write(body, at, Math.min(PIECE_BYTES, body.length - at));
-          Thread.sleep(PIECE_MILLIS);
-        }
-        Kit.Answer answer = Kit.readAnswer(new BufferedInputStream(socket.getInputStream()));
-        record.line("answer %s: status %d %s", attemptId, answer.status, answer.end);
-        if (answer.status == 200) {
-          bodies.incrementAndGet();
-        } else {
-          (answer.status == 0 ? closedBodies : otherBodies).incrementAndGet();
+  /** Begins the planned end of a replica; it goes on serving until the round is over. */
+  private void leave(Kit.Store store, Kit.Replica replica, boolean isAbrupt) {
+    synchronized (stateOf) {
+      if (isAbrupt) {
+        stateOf.remove(replica);
+        store.put("keyed.servers", replica.id, "");
+      } else {
+        stateOf.put(replica, "draining");
+        announce(store, replica, "draining");
+      }
+      goneAt.put(replica.id, System.currentTimeMillis());
+    }
+    record.line("%s %s", replica.id, isAbrupt ? "gone from the store" : "draining");
+  }
+
+  private void announce(Kit.Store store, Kit.Replica replica, String state) {
+    store.put(
+        "keyed.servers",
+        replica.id,
+        replica.announcement(SERVICE, state, 6, sequence.incrementAndGet()));
+  }
+
+  /** Renews the entries of all replicas, each once in the heartbeat interval. */
+  private void beat(Kit.Store store) {
+    try {
+      while (true) {
+        List<Kit.Replica> all = new ArrayList<>(stateOf.keySet());
+        for (Kit.Replica each : all) {
+          synchronized (stateOf) {
+            String state = stateOf.get(each);
+            if (state != null) {
+              announce(store, each, state);
+            }
+          }
+          Thread.sleep(HEARTBEAT_MILLIS / all.size());
         }
-      } catch (IOException e) {
-        record.line("answer %s: none, %s", attemptId, e);
-        closedBodies.incrementAndGet();
-      } catch (InterruptedException e) {
-        return;
       }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
-  private void read(InetSocketAddress entry, long until) {
+  private void startReplica(Kit.Store store) throws IOException {
+    String id = "i-%08x".formatted(random.nextInt());
+    Kit.Replica replica =
+        new Kit.Replica(
+            id,
+            "127.0.23." + (1 + random.nextInt(200)),
+            (request, out, channel) -> answer(request, out, id));
+    replicas.add(replica);
+    stateOf.put(replica, "ready");
+    announce(store, replica, "ready");
+  }
+
+  private void send(InetSocketAddress entry, long until) {
     while (System.currentTimeMillis() < until) {
       String attemptId = Kit.newAttemptId();
-      record.line("send %s to %s", attemptId, entry);
-      reads.incrementAndGet();
-      long sentAt = System.nanoTime();
-      String result;
+      record.line("send %s", attemptId);
       try {
         Kit.Answer answer =
             Kit.call(
                 entry,
-                "GET",
-                "/points/a",
-                Kit.requestHeaders(HOST, attemptId, TIMEOUT_MILLIS),
-                new byte[0],
-                NEVER_MILLIS);
-        answeredReads.addAndGet(answer.status == 200 ? 1 : 0);
-        result = "status " + answer.status + " " + answer.end;
-      } catch (SocketTimeoutException e) {
-        never.incrementAndGet();
-        result = "none, " + e;
-      } catch (IOException e) {
-        result = "none, " + e;
-      }
-      long millis = (System.nanoTime() - sentAt) / 1_000_000;
-      record.line("answer %s: %s after %d ms", attemptId, result, millis);
-      overdue.addAndGet(millis > TIMEOUT_MILLIS ? 1 : 0);
-      unanswered.addAndGet(millis > TIMEOUT_MILLIS + LATE_MILLIS ? 1 : 0);
-      try {
-        Thread.sleep(READER_PAUSE_MILLIS);
+                "POST",
+                "/page/a",
+                Kit.requestHeaders(HOST, attemptId, 1_500),
+                "the body".getBytes(StandardCharsets.UTF_8),
+                3_000);
+        (answer.status == 200 ? answered : other).incrementAndGet();
+        record.line("answer %s: status %d%s", attemptId, answer.status, answer.status == 200 ? "" : " LOST");
+        Thread.sleep(PAUSE_MILLIS);
       } catch (InterruptedException e) {
         return;
+      } catch (IOException e) {
+        other.incrementAndGet();
       }
     }
   }
 
   private boolean answer(Kit.Request request, OutputStream out, String id) throws IOException {
+    Long gone = goneAt.get(id);
+    long since = gone == null ? 0 : System.currentTimeMillis() - gone;
+    if (isJudged && since > DRAIN_MILLIS) {
+      late.incrementAndGet();
+      record.line("LATE: %s reaches %s %d ms after it was draining or gone", request.attemptId(), id, since);
+    }
     record.line("run %s at %s", request.attemptId(), id);
     try {
-      Thread.sleep(60);
+      Thread.sleep(WORK_MILLIS);
     } catch (InterruptedException e) {
       throw new IOException(e);
     }
-    byte[] body = "done".getBytes(StandardCharsets.UTF_8);
+    byte[] body = "page".getBytes(StandardCharsets.UTF_8);
     out.write(
         ("HTTP/1.1 200 OK\r\nX-Attempt-Id: "
                 + request.attemptId()
@@ -219,13 +273,10 @@
   private static String configuration() {
     return """
         {"version":3,"routes":[
-          {"name":"survey","host":"panel.example","path_prefix":"/survey/",
-           "kind":"non_idempotent","timeout_ms":8000,"target_latency_ms":387,"priority":2,
-           "service":"panel-app","max_attempts":1,"public":true},
-          {"name":"points","host":"panel.example","path_prefix":"/points/","kind":"idempotent",
-           "timeout_ms":1500,"target_latency_ms":386,"priority":2,"service":"panel-app",
-           "max_attempts":2,"public":true}],
-         "services":[{"name":"panel-app","health_path":"/health","max_connections":100}],
+          {"name":"page","host":"pages.example","path_prefix":"/page/","kind":"non_idempotent",
+           "timeout_ms":1500,"target_latency_ms":387,"priority":2,"service":"lexweb",
+           "max_attempts":1,"public":true}],
+         "services":[{"name":"lexweb","health_path":"/health","max_connections":100}],
          "tenants":[{"name":"t1","api_keys":["k1"]}],
          "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
           "header_timeout_ms":3000,"idle_timeout_ms":15000}}
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -547,6 +547,7 @@
     final String ip;
     final ServerSocket server;
     private final Service service;
+    private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
 
     Replica(String id, String ip, Service service) throws IOException {
       this.id = id;
@@ -571,6 +572,7 @@
       while (!server.isClosed()) {
         try {
           Socket channel = server.accept();
+          channels.add(channel);
           daemon(() -> serve(channel)).start();
         } catch (IOException e) {
           return;
@@ -597,6 +599,16 @@
         }
       } catch (IOException e) {
         // The caller closed the channel.
+      } finally {
+        channels.remove(channel);
+      }
+    }
+
+    /** Ends the replica with what it runs, as the exit of its process does. */
+    void exit() throws IOException {
+      server.close();
+      for (Socket channel : channels) {
+        channel.close();
       }
     }
 
