--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -24,7 +24,11 @@
   /** Every third of these reports no draining; its entry is removed, and it goes on serving. */
   private static final int ABRUPT_EVERY = 3;
 
-  private static final long LEAVING_GAP_MILLIS = 40;
+  private static final long LEAVING_GAP_MILLIS = 25;
+
+  /** How long before the entries ask for the replicas the first one leaves, milliseconds. */
+  private static final long LEAD_MILLIS = 100;
+
   private static final long HEARTBEAT_MILLIS = 1_200;
   private static final int ROUNDS = 7;
   private static final int CLIENTS = 12;
@@ -122,8 +126,8 @@
         site.restart("edge-" + number, "entry");
       }
     }
-    // The replicas leave over 0.4 s, around the time at which the entries come back.
-    Thread.sleep(Math.max(0, startMillis - LEAVING * LEAVING_GAP_MILLIS / 2));
+    // The replicas leave over 0.25 s, as the entries come back.
+    Thread.sleep(Math.max(0, startMillis - LEAD_MILLIS));
     Collections.shuffle(replicas, random);
     List<Kit.Replica> leaving = new ArrayList<>(replicas.subList(0, LEAVING));
     replicas.removeAll(leaving);
