--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -17,11 +18,14 @@
 public final class Case1 {
   private static final String HOST = "reports.example";
   private static final int BODY_BYTES = 400_000;
-  private static final int REQUESTS = 400;
+  private static final int REQUESTS = 1_600;
   private static final int CLIENTS = 4;
 
-  /** One in this many answers of the faulty replica breaks off: 2 in 100. */
-  private static final int BREAK_EVERY = 50;
+  /** One of them is faulty: a share of 0.25. */
+  private static final int REPLICAS = 4;
+
+  /** One in this many answers of the faulty replica breaks off: 0.0167 of them. */
+  private static final int BREAK_EVERY = 60;
 
   private static final byte[] BODY = body();
 
@@ -64,18 +68,23 @@
               brokenOff.addAndGet(breaks ? 1 : 0);
               return answer(request, out, "i-faulty", breaks ? BODY_BYTES * 3 / 4 : BODY_BYTES);
             });
-    Kit.Replica sound =
-        new Kit.Replica(
-            "i-sound",
-            "127.0.21.2",
-            (request, out, channel) -> {
-              ran.incrementAndGet();
-              record.line("run %s at i-sound", request.attemptId());
-              return answer(request, out, "i-sound", BODY_BYTES);
-            });
+    List<Kit.Replica> replicas = new ArrayList<>(List.of(faulty));
+    for (int number = 2; number <= REPLICAS; number++) {
+      String id = "i-sound-" + number;
+      replicas.add(
+          new Kit.Replica(
+              id,
+              "127.0.21." + number,
+              (request, out, channel) -> {
+                ran.incrementAndGet();
+                record.line("run %s at %s", request.attemptId(), id);
+                return answer(request, out, id, BODY_BYTES);
+              }));
+    }
     store.put("keyed.op", "config", configuration());
-    store.put("keyed.servers", faulty.id, faulty.announcement("panel-app", "ready", 6, 1));
-    store.put("keyed.servers", sound.id, sound.announcement("panel-app", "ready", 6, 1));
+    for (Kit.Replica each : replicas) {
+      store.put("keyed.servers", each.id, each.announcement("dispatch-api", "ready", 6, 1));
+    }
     List<String> seeds = List.of("127.0.11.1:" + site.linkPort);
     List<Map<String, Object>> entries =
         List.of(
@@ -170,9 +179,9 @@
     return """
         {"version":3,"routes":[
           {"name":"report","host":"reports.example","path_prefix":"/report/","kind":"idempotent",
-           "timeout_ms":5000,"target_latency_ms":1000,"priority":2,"service":"panel-app",
+           "timeout_ms":5000,"target_latency_ms":1000,"priority":2,"service":"dispatch-api",
            "max_attempts":2,"public":true}],
-         "services":[{"name":"panel-app","health_path":"/health","max_connections":100}],
+         "services":[{"name":"dispatch-api","health_path":"/health","max_connections":100}],
          "tenants":[{"name":"t1","api_keys":["k1"]}],
          "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
           "header_timeout_ms":3000,"idle_timeout_ms":15000}}
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -95,10 +95,7 @@
 
   // ---------------------------------------------------------------- processes
 
-  /** Bounds that differ from those of the small sites; set before the first start. */
-  static final Map<String, Object> BOUNDS = new HashMap<>();
-
-  /** The settings fields of one machine, as DEPLOY.md lists them. */
+  /** The settings fields of one machine, as DEPLOY.md lists them, with the bounds of the site. */
   static Map<String, Object> fields(String node, String zone, String ip, String storeAddress) {
     Map<String, Object> fields = new HashMap<>();
     fields.put("node_name", node);
@@ -106,18 +103,19 @@
     fields.put("ip", ip);
     fields.put("initial_bootstrap", true);
     Map<String, Object> bounds = new HashMap<>();
-    bounds.put("drain_ms", 2000);
+    bounds.put("drain_ms", 3000);
     bounds.put("grace_s", 8);
-    bounds.put("config_apply_ms", 2000);
+    bounds.put("config_apply_ms", 3000);
     bounds.put("retry_budget_ratio", 0.2);
-    bounds.put("retry_budget_slack", 88);
+    bounds.put("retry_budget_slack", 208);
     bounds.put("budget_window_s", 10);
     bounds.put("ttl_max_s", 5);
-    bounds.putAll(BOUNDS);
+    bounds.put("cold_overrun", 1.5);
+    bounds.put("cold_slack", 5);
     fields.put("bounds", bounds);
     Map<String, Object> platform = new HashMap<>();
     platform.put("address", storeAddress);
-    platform.put("reads_per_s", 2000);
+    platform.put("reads_per_s", 6000);
     fields.put("platform", platform);
     return fields;
   }
