--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -74,8 +74,6 @@
   }
 
   private int run(Kit.Site site) throws Exception {
-    Kit.BOUNDS.putAll(
-        Map.of("drain_ms", DRAIN_MILLIS, "config_apply_ms", 3_000, "retry_budget_slack", 232));
     Kit.Store store = new Kit.Store(50);
     store.answerMillis = 4;
     store.record = record;
