Log how much of a response a failed attempt wrote to its caller

The log told that an attempt failed and was repeated, but not what the caller had by then, so a repeat after a part of the body, two attempts that write at once, and a fault of the client looked alike. attempt.failed now has written_bytes.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -429,6 +429,9 @@
     private final SilenceMonitor silenceMonitor;
     private boolean isSilent;
 
+    /** Bytes of the response's body that were written to the caller. */
+    private long writtenBytes;
+
     private final PassTimes passTimes = new PassTimes(context.admission(), routed.service());
 
     Attempt(TargetDirectory.ListedTarget target, long sentAt) {
@@ -481,7 +484,7 @@
       log.attemptFailed(
           AttemptOutcome.BROKEN,
           "silent while other streams of the service make progress",
-          hasBegun(),
+          writtenBytes,
           true,
           sends);
       startAttempt(other.get(), now);
@@ -577,6 +580,7 @@
         guard.onAnswerBegun(now);
       }
       passTimes.onPiece(now);
+      writtenBytes += bytes.length;
       response.writePiece(bytes);
       if (!response.isWritable()) {
         relay.setReading(false);
@@ -615,7 +619,7 @@
       }
       runs += outcome.mayHaveRun() ? 1 : 0;
       lastFailure = failure.or(() -> lastFailure);
-      Runnable next = () -> onAttemptFailed(outcome, cause, hasBegun(), isCallersFault);
+      Runnable next = () -> onAttemptFailed(outcome, cause, writtenBytes, isCallersFault);
       if (outcome == AttemptOutcome.BROKEN) {
         // A retry depends on whether the request crashed its target, which is checked first.
         guard.onBroken(loop, target, sentAt, hasBegun(), next);
@@ -626,14 +630,14 @@
   }
 
   private void onAttemptFailed(
-      AttemptOutcome outcome, String cause, boolean hasBegun, boolean isCallersFault) {
+      AttemptOutcome outcome, String cause, long writtenBytes, boolean isCallersFault) {
     if (isOver) {
       return;
     }
     boolean isOtherInFlight = !attempts.isEmpty();
     boolean isRetried =
         !isOtherInFlight && !isCallersFault && tryTakeRetry(outcome, runs, MonotonicClock.millis());
-    log.attemptFailed(outcome, cause, hasBegun, isRetried, sends);
+    log.attemptFailed(outcome, cause, writtenBytes, isRetried, sends);
     if (isOtherInFlight) {
       return;
     }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ExchangeLog.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/ExchangeLog.java
@@ -78,10 +78,10 @@
   /**
    * Logs a failed attempt.
    *
-   * @param hasBegun whether the target had begun its answer
+   * @param writtenBytes how much of the body of its response was written to the caller
    */
   void attemptFailed(
-      AttemptOutcome outcome, String cause, boolean hasBegun, boolean isRetried, int sends) {
+      AttemptOutcome outcome, String cause, long writtenBytes, boolean isRetried, int sends) {
     logger.atInfo().log(
         "%s",
         LogEvent.of("attempt.failed")
@@ -90,7 +90,8 @@
             .with("outcome", outcome)
             .with("cause", cause)
             .with("parts", String.join(",", promptParts))
-            .with("begun", hasBegun)
+            .with("begun", writtenBytes > 0)
+            .with("written_bytes", writtenBytes)
             .with("again", isRetried)
             .with("sends", sends)
             .with("after_ms", MonotonicClock.millis() - arrivedAt));
