Send no request again whose caller has a part that can't be continued

Cause: AttemptRelay passes a response on as it arrives once it exceeds 256 KiB. When that attempt broke, Exchange asked how often the request may run, the budget and the quarantine, but not what the caller had by then. The second attempt found the head written and put its body behind the part.

The class of fault is wider: a request may be sent again only if what its caller has can be continued. DeliveredResponse says so in one place (nothing, whole events up to an id, or a part), and RetryRule asks it, so retry, hedge and fail-over all do (RetryGate, which leaves Exchange). The relay asks it, too, before it passes on a response to a resumed stream: a response that is no event stream, an event without an id or one after a gap follows no event that the caller has. A comment in a stream is no event. A response that can't be continued is cut at once, without waiting for the check whether the target crashed.

Also seen and fixed by the same rule: an event stream on an idempotent route was joined; a resumed stream that was answered by a body of any size got a second head or that body behind its events; events without ids were repeated.

Small responses are still replaced whole, and resumable streams still go on.

TargetStandIn answers with bodies of a settable size and breaks them off at any byte; TestEntry is what FrontTest set up by itself. RetryRule's unused parameter is gone; its tests ask the same of the outcome's runs as before. ibishub's own interface kept the rule already; a case more in RequestRunnerTest shows it.

--- a/core/src/main/java/dev/ibishub/core/serving/RetryRule.java
+++ b/core/src/main/java/dev/ibishub/core/serving/RetryRule.java
@@ -5,8 +5,9 @@
  * platform of the users; ibishub's own interface has {@link dev.ibishub.core.RequestTracker}.
  * Immutable.
  *
- * <p>It guarantees that a request that may not be repeated runs at most once, and that no request
- * runs on more targets than its route allows.
+ * <p>It guarantees that a request that may not be repeated runs at most once, that no request runs
+ * on more targets than its route allows, and that none is sent again whose caller has received a
+ * part of a response that another target can't continue.
  *
  * @param kind how often the request may run
  * @param maximumRuns maximum number of targets on which the request may have run, 1 or more
@@ -39,14 +40,18 @@
   /**
    * Decides whether another attempt is allowed.
    *
-   * @param outcome how the last attempt ended
+   * @param delivered what the caller has received so far
    * @param runs attempts so far that may have run
    * @param sends all attempts so far
-   * @return whether another attempt keeps within the allowed runs and sends
+   * @return whether another attempt keeps within the allowed runs and sends, and its response could
+   *     follow what was delivered
    */
-  public boolean allowsAnother(AttemptOutcome outcome, int runs, int sends) {
+  public boolean allowsAnother(DeliveredResponse delivered, int runs, int sends) {
     boolean mayRunAgain = runs == 0 || kind.isRepeatable();
-    return mayRunAgain && runs < maximumRuns && sends < maximumRuns + EXTRA_SENDS;
+    return mayRunAgain
+        && delivered.mayBeContinued(kind)
+        && runs < maximumRuns
+        && sends < maximumRuns + EXTRA_SENDS;
   }
 
   /**
--- a/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
@@ -25,6 +25,8 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class RequestRunnerTest {
   private static final Instant START = Instant.parse("2026-03-01T22:00:00Z");
@@ -106,6 +108,24 @@
     assertThat(answer.events).containsExactly("0:half", "failed TARGET_LOST");
   }
 
+  // Guards against splicing two answers where the target itself says that its run failed, or that
+  // it didn't run, after a part of its answer was delivered.
+  @ParameterizedTest
+  @EnumSource(
+      value = ResultCode.class,
+      names = {"ENGINE_FAILED", "TARGET_LEAVING"})
+  void partialAnswerThatFailedIsNotSentToAnotherTarget(ResultCode code) {
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    first.chunk(first.latestAttemptId(), 0, "half");
+    FakeAgent second = agent("model-2", 1);
+
+    first.refuse(first.latestAttemptId(), code);
+
+    assertThat(second.dispatches()).isEmpty();
+    assertThat(answer.events).containsExactly("0:half", "failed " + code);
+  }
+
   @Test
   void answerWhoseLinkBrokeResumesFromSameAgentIncarnation() {
     FakeAgent agent = agent("model-1", 1);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.front;
 
 import dev.ibishub.core.serving.AttemptOutcome;
+import dev.ibishub.core.serving.DeliveredResponse;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -37,6 +38,7 @@
   private TargetResponse response;
   private HttpHeaders headers;
   private boolean isPassingThrough;
+  private boolean hasPassedOnEvent;
   private boolean isOver;
 
   /** A complete error response of the target. */
@@ -45,8 +47,8 @@
 
   /** Receives the result of the attempt. Nothing follows a whole response, an end or a failure. */
   interface Listener {
-    /** Returns the id of the last event that the caller received; empty for none. */
-    OptionalLong lastEventId();
+    /** Returns what the caller has received so far, of this response and earlier ones. */
+    DeliveredResponse delivered();
 
     /** Called first, when the intended target starts to respond, whatever the status. */
     void onResponse(TargetResponse response);
@@ -60,8 +62,10 @@
      */
     void onBegin(int status, HttpHeaders headers);
 
-    /** Called with a piece of the body; for an event stream, with one event and its id. */
-    void onPiece(byte[] bytes, OptionalLong eventId);
+    /** Called with a piece of a body that is no event stream. */
+    void onPiece(byte[] bytes);
+
+    void onEvent(EventSplitter.Event event);
 
     void onEnd();
 
@@ -123,6 +127,8 @@
     } else if (impliesNotRun(response.status())) {
       fail(
           AttemptOutcome.BROKEN, "status " + response.status() + " of a request that may have run");
+    } else if (response.status() < 400 && !listener.delivered().mayBeFollowedBy(isStream())) {
+      fail(AttemptOutcome.BROKEN, "the response can't follow the part that the caller has");
     }
   }
 
@@ -134,7 +140,7 @@
     if (isStream()) {
       onEvents(bytes);
     } else if (isPassingThrough) {
-      listener.onPiece(bytes, OptionalLong.empty());
+      listener.onPiece(bytes);
     } else {
       buffer(bytes);
     }
@@ -180,7 +186,7 @@
     if (buffered.size() > MAXIMUM_BUFFERED_BYTES && response.isSuccess()) {
       isPassingThrough = true;
       listener.onBegin(response.status(), headers);
-      listener.onPiece(buffered.toByteArray(), OptionalLong.empty());
+      listener.onPiece(buffered.toByteArray());
       buffered.reset();
     }
   }
@@ -195,25 +201,25 @@
   }
 
   private void onEvent(EventSplitter.Event event) {
-    OptionalLong last = listener.lastEventId();
-    if (event.id().isPresent() && last.isPresent()) {
-      long expected = last.getAsLong() + 1;
-      if (event.id().getAsLong() < expected) {
-        return;
-      }
-      if (event.id().getAsLong() > expected) {
-        fail(
-            AttemptOutcome.BROKEN,
-            "event "
-                + event.id().getAsLong()
-                + " arrived, but event "
-                + expected
-                + " was expected");
-        return;
-      }
+    DeliveredResponse delivered = listener.delivered();
+    DeliveredResponse.EventOrder order =
+        event.isComment()
+            ? DeliveredResponse.EventOrder.NEXT
+            : delivered.orderOf(event.id(), !hasPassedOnEvent);
+    if (order == DeliveredResponse.EventOrder.GAP) {
+      fail(
+          AttemptOutcome.BROKEN,
+          "event %s arrived after event %s"
+              .formatted(nameOf(event.id()), nameOf(delivered.lastEventId())));
+    } else if (order == DeliveredResponse.EventOrder.NEXT) {
+      hasPassedOnEvent |= !event.isComment();
+      listener.onBegin(response.status(), headers);
+      listener.onEvent(event);
     }
-    listener.onBegin(response.status(), headers);
-    listener.onPiece(event.bytes(), event.id());
+  }
+
+  private static String nameOf(OptionalLong id) {
+    return id.isPresent() ? Long.toString(id.getAsLong()) : "without an id";
   }
 
   private void endStream() {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/EventSplitter.java
@@ -35,7 +35,18 @@
    * @param id its numeric id; empty where it has none
    */
   @SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
-  record Event(byte[] bytes, OptionalLong id) {}
+  record Event(byte[] bytes, OptionalLong id) {
+    /**
+     * Whether it is one comment, which receivers ignore; targets send them to show that they live.
+     */
+    boolean isComment() {
+      return bytes.length > 0 && bytes[0] == ':' && id.isEmpty() && lines() == 1;
+    }
+
+    private long lines() {
+      return new String(bytes, StandardCharsets.UTF_8).strip().lines().count();
+    }
+  }
 
   /**
    * Adds bytes that arrived.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -2,6 +2,7 @@
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.serving.AttemptOutcome;
+import dev.ibishub.core.serving.DeliveredResponse;
 import dev.ibishub.core.serving.RetryAdvice;
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
@@ -77,15 +78,9 @@
   private Routing.Routed routed;
   private ScheduledFuture<?> timer;
 
-  /** Attempts so far that may have run the request. */
-  private int runs;
-
-  /** All attempts so far, also those that ran nothing. */
-  private int sends;
-
   private Optional<AttemptRelay.Failure> lastFailure = Optional.empty();
-  private OptionalLong lastEventId = OptionalLong.empty();
   private CrashGuard guard;
+  private RetryGate retries;
 
   /** The request for admission, if the service has any. */
   private Optional<AdmissionTicket> ticket = Optional.empty();
@@ -146,7 +141,12 @@
       refuseQuarantined();
       return;
     }
-    lastEventId = caller.lastEventId();
+    retries =
+        new RetryGate(
+            routed.retryRule(),
+            guard::mayRepeat,
+            now -> context.budgets().tryRetry(routed.service(), now),
+            caller.lastEventId());
     timer =
         loop.schedule(
             this::onDeadline,
@@ -157,7 +157,7 @@
   }
 
   private void refuseQuarantined() {
-    log.ended("request.quarantined", ResultCode.REQUEST_QUARANTINED, guard.cause(), sends);
+    log.ended("request.quarantined", ResultCode.REQUEST_QUARANTINED, guard.cause(), sends());
     response.writeRefusal(ResultCode.REQUEST_QUARANTINED, 0);
     complete("quarantined");
   }
@@ -165,7 +165,7 @@
   /** Ends the exchange because the caller's connection closed, and cancels its attempts. */
   void onCallerGone() {
     if (!isOver) {
-      log.ended("request.left", ResultCode.CANCELLED, "caller closed its connection", sends);
+      log.ended("request.left", ResultCode.CANCELLED, "caller closed its connection", sends());
       complete("left");
     }
   }
@@ -185,7 +185,7 @@
       onDeadline();
       return;
     }
-    if (sends == 0 && !isPermitted(now)) {
+    if (sends() == 0 && !isPermitted(now)) {
       return;
     }
     List<TargetDirectory.ListedTarget> usable = context.targets().usable(routed.service());
@@ -232,7 +232,7 @@
    */
   private boolean needsAdmission() {
     return !isAdmitted
-        && sends == 0
+        && sends() == 0
         && caller.lastEventId().isEmpty()
         && context.admission().appliesTo(routed.service());
   }
@@ -271,6 +271,10 @@
     loop.schedule(this::sendUnlessOver, CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  private int sends() {
+    return retries == null ? 0 : retries.sends();
+  }
+
   /** Whether the wait for engines that are about to accept requests may go on. */
   private boolean mayWaitForEngines(long now) {
     long formationTimeoutMillis =
@@ -295,11 +299,11 @@
   private void startAttempt(TargetDirectory.ListedTarget target, long now) {
     log.onTarget(target);
     tried.add(target.target().id());
-    sends++;
+    retries.onSent();
     guard.onSent(now);
     target.load().onSent(now);
     context.admission().onSent(routed.service(), now);
-    if (!isAdmitted || sends > 1) {
+    if (!isAdmitted || sends() > 1) {
       context.admission().onFurtherSend(routed.service(), now);
     }
     context.targetLimits().onSent(routed.service(), target.target().incarnation(), now);
@@ -319,18 +323,11 @@
     long now = MonotonicClock.millis();
     Optional<TargetDirectory.ListedTarget> other =
         choose(context.targets().usable(routed.service()), now);
-    if (other.isPresent() && tryTakeRetry(AttemptOutcome.BROKEN, runs + attempts.size(), now)) {
+    if (other.isPresent() && retries.tryTakeRetry(attempts.size(), now)) {
       startAttempt(other.get(), now);
     }
   }
 
-  /** Whether the request may be sent once more; if so, takes a retry from the budget. */
-  private boolean tryTakeRetry(AttemptOutcome outcome, int runsSoFar, long now) {
-    return routed.retryRule().allowsAnother(outcome, runsSoFar, sends)
-        && guard.mayRepeat()
-        && context.budgets().tryRetry(routed.service(), now);
-  }
-
   private Optional<TargetDirectory.ListedTarget> choose(
       List<TargetDirectory.ListedTarget> usable, long now) {
     List<TargetDirectory.ListedTarget> allowed =
@@ -359,7 +356,7 @@
    * another one that has room first.
    */
   private int queueLimit(EngineProfile profile) {
-    return isAdmitted && sends == 0
+    return isAdmitted && sends() == 0
         ? 1
         : profile.queueLimit(routed.route().latencyObjectiveMillis());
   }
@@ -374,7 +371,7 @@
                 target.target().id(),
                 routed.deadline() - now,
                 routed.workspace().map(Workspace::name),
-                lastEventId,
+                retries.delivered().lastEventId(),
                 routed.priority()));
     return copy;
   }
@@ -384,7 +381,7 @@
       endBroken("no other target to resume the stream at");
       return;
     }
-    if (runs > 0) {
+    if (retries.runs() > 0) {
       endFailed("no other target to try");
       return;
     }
@@ -474,19 +471,19 @@
     private void failOver(long now) {
       Optional<TargetDirectory.ListedTarget> other =
           choose(context.targets().usable(routed.service()), now);
-      if (other.isEmpty() || !tryTakeRetry(AttemptOutcome.BROKEN, runs + 1, now)) {
+      if (other.isEmpty() || !retries.tryTakeRetry(1, now)) {
         return;
       }
       end("silent");
       guard.onAbandoned(loop, target, sentAt, now);
       target.load().onAnswer(false, now);
-      runs++;
+      retries.onFailed(AttemptOutcome.BROKEN);
       log.attemptFailed(
           AttemptOutcome.BROKEN,
           "silent while other streams of the service make progress",
           writtenBytes,
           true,
-          sends);
+          sends());
       startAttempt(other.get(), now);
     }
 
@@ -525,8 +522,8 @@
     }
 
     @Override
-    public OptionalLong lastEventId() {
-      return lastEventId;
+    public DeliveredResponse delivered() {
+      return retries.delivered();
     }
 
     @Override
@@ -568,10 +565,18 @@
     }
 
     @Override
-    public void onPiece(byte[] bytes, OptionalLong eventId) {
-      if (eventId.isPresent()) {
-        lastEventId = eventId;
-      }
+    public void onEvent(EventSplitter.Event event) {
+      retries.onEventDelivered(event);
+      write(event.bytes());
+    }
+
+    @Override
+    public void onPiece(byte[] bytes) {
+      retries.onPartDelivered();
+      write(bytes);
+    }
+
+    private void write(byte[] bytes) {
       long now = MonotonicClock.millis();
       silenceMonitor.onPiece(now);
       timings.onPiece(now);
@@ -602,7 +607,7 @@
       context
           .metrics()
           .onResponse(routed.service(), timings.firstPieceMillis(), timings.longestPauseMillis());
-      log.logIfLate(routed.route(), timings, sends);
+      log.logIfLate(routed.route(), timings, sends());
       end("ok");
     }
 
@@ -617,13 +622,16 @@
       } else {
         target.load().onAnswer(isCallersFault, MonotonicClock.millis());
       }
-      runs += outcome.mayHaveRun() ? 1 : 0;
+      retries.onFailed(outcome);
       lastFailure = failure.or(() -> lastFailure);
       Runnable next = () -> onAttemptFailed(outcome, cause, writtenBytes, isCallersFault);
-      if (outcome == AttemptOutcome.BROKEN) {
-        // A retry depends on whether the request crashed its target, which is checked first.
-        guard.onBroken(loop, target, sentAt, hasBegun(), next);
-      } else {
+      boolean isBroken = outcome == AttemptOutcome.BROKEN;
+      // A retry depends on whether the request crashed its target, which is checked first.
+      boolean awaitsCheck = isBroken && retries.mayBeContinued();
+      if (isBroken) {
+        guard.onBroken(loop, target, sentAt, hasBegun(), awaitsCheck ? next : () -> {});
+      }
+      if (!awaitsCheck) {
         next.run();
       }
     }
@@ -634,18 +642,18 @@
     if (isOver) {
       return;
     }
-    boolean isOtherInFlight = !attempts.isEmpty();
+    boolean isOtherUnderWay = !attempts.isEmpty();
     boolean isRetried =
-        !isOtherInFlight && !isCallersFault && tryTakeRetry(outcome, runs, MonotonicClock.millis());
-    log.attemptFailed(outcome, cause, writtenBytes, isRetried, sends);
-    if (isOtherInFlight) {
+        !isOtherUnderWay && !isCallersFault && retries.tryTakeRetry(0, MonotonicClock.millis());
+    log.attemptFailed(outcome, cause, writtenBytes, isRetried, sends());
+    if (isOtherUnderWay) {
       return;
     }
     if (isRetried) {
       sendAgain(outcome);
     } else if (response.isHeadWritten()) {
       endBroken(cause);
-    } else if (runs > 0) {
+    } else if (retries.runs() > 0) {
       endFailed(cause);
     } else {
       refuse(
@@ -656,7 +664,7 @@
 
   private void sendAgain(AttemptOutcome outcome) {
     long left = routed.deadline() - MonotonicClock.millis();
-    long pause = routed.retryRule().retryDelayMillis(outcome, sends, left);
+    long pause = retries.retryDelayMillis(outcome, left);
     if (pause == 0) {
       send();
       return;
@@ -675,7 +683,7 @@
       endBroken(cause);
       return;
     }
-    boolean mayHaveRun = runs > 0 || !attempts.isEmpty();
+    boolean mayHaveRun = retries.runs() > 0 || !attempts.isEmpty();
     attempts.stream()
         .filter(attempt -> !attempt.relay.isResponding())
         .forEach(attempt -> attempt.target.load().onAnswer(false, MonotonicClock.millis()));
@@ -692,14 +700,14 @@
       end(ResultCode.TARGET_LOST, 0, cause);
       return;
     }
-    log.ended("request.failed", ResultCode.ENGINE_FAILED, cause, sends);
+    log.ended("request.failed", ResultCode.ENGINE_FAILED, cause, sends());
     AttemptRelay.Failure failed = lastFailure.get();
     response.writeWhole(failed.status(), failed.headers(), failed.body());
     complete("target_failed");
   }
 
   private void endBroken(String cause) {
-    log.ended("request.broken", ResultCode.TARGET_LOST, cause, sends);
+    log.ended("request.broken", ResultCode.TARGET_LOST, cause, sends());
     response.abort();
     complete("broken");
   }
@@ -709,7 +717,7 @@
   }
 
   private void end(ResultCode code, long retryMillis, String cause) {
-    log.ended("request.refused", code, cause, sends);
+    log.ended("request.refused", code, cause, sends());
     response.writeRefusal(code, retryMillis);
     complete(code.name().toLowerCase(Locale.ROOT));
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/FrontTest.java
@@ -1,33 +1,24 @@
 package dev.ibishub.gateway.front;
 
+import static dev.ibishub.gateway.front.TestEntry.TIMEOUT_MILLIS;
+import static dev.ibishub.gateway.front.TestEntry.route;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.entries.LogPosition;
 import dev.ibishub.core.serving.EvacuatedZones;
-import dev.ibishub.core.serving.LimitDivision;
 import dev.ibishub.core.serving.RequestKind;
-import dev.ibishub.core.serving.RetryLimits;
-import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.TargetReport;
-import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.EngineProfile;
-import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.Service;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.MonotonicClock;
-import dev.ibishub.wire.generated.Frame;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -36,7 +27,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -45,41 +35,23 @@
 
 /** Tests the request path with raw bytes on both sides: those of a caller and those of a target. */
 final class FrontTest {
-  private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+  private static final InetAddress LOOPBACK = TestEntry.LOOPBACK;
   private static final Charset ASCII = StandardCharsets.US_ASCII;
-  private static final int TIMEOUT_MILLIS = 60_000;
-  private static final long AIM_MILLIS = 500;
   private static final String OK = "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood";
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-
   /** Longer than a stream may be silent while others make progress. */
   private static final long SILENCE_MILLIS = 1_500;
 
   /** Time between two events of a stream that makes progress, milliseconds. */
   private static final int PIECE_INTERVAL_MILLIS = 100;
 
-  private final List<Frame> broadcasts = new CopyOnWriteArrayList<>();
-  private final CrashDetector crashes = new CrashDetector(broadcasts::add);
-  private final TargetDirectory targets = new TargetDirectory("z", crashes::onIncarnationEnded);
-  private final TargetLimits limits =
-      new TargetLimits(
-          new SharedLimits("own", LimitDivision.amongFewHolders()),
-          broadcasts::add,
-          new PrometheusRegistry());
   private ServerSocket target;
   private Optional<ServingConfiguration> configuration;
-  private CallerServer server;
-  private int port;
+  private TestEntry entry;
+  private TargetDirectory targets;
 
   @BeforeEach
   void start() throws IOException {
-    target = new ServerSocket(0, 10, LOOPBACK);
-    target.setSoTimeout(TIMEOUT_MILLIS);
-    targets.onAnnounced(
-        new Target("t", "s", LOOPBACK.getHostAddress(), target.getLocalPort(), "z", 2, false, 1),
-        new LogPosition(1, 1));
     configuration =
         Optional.of(
             ServingConfiguration.of(
@@ -92,64 +64,19 @@
                 Map.of(),
                 false,
                 new CallerLimits(600, 100, 300, 60_000)));
-    RetryBudgets budgets =
-        new RetryBudgets(
-            new RetryLimits(1, 10, 10_000),
-            MonotonicClock.millis(),
-            true,
-            new PrometheusRegistry());
-    server =
-        new CallerServer(
-            new RequestContext(
-                new PlainDialect(),
-                () -> configuration,
-                targets,
-                budgets,
-                new ServiceStatistics(),
-                crashes,
-                limits,
-                new ServiceAdmission(
-                    AdmissionMode.AUTOMATIC,
-                    () -> configuration,
-                    targets,
-                    () -> 1,
-                    new NeverStops(),
-                    WorkspaceShares.EQUAL,
-                    new PrometheusRegistry()),
-                () -> 1,
-                new NeverStops(),
-                new RequestMetrics(new PrometheusRegistry()),
-                MonotonicClock.millis()));
-    try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
-      port = free.getLocalPort();
-    }
-    server.listen(group, new InetSocketAddress(LOOPBACK, port));
-  }
-
-  private static Route route(String prefix, RequestKind kind) {
-    return new Route(
-        prefix,
-        "h",
-        prefix,
-        kind,
-        TIMEOUT_MILLIS,
-        AIM_MILLIS,
-        0,
-        0,
-        List.of(new Route.Destination("s", 1)),
-        kind.isRepeatable() ? 2 : 1,
-        false);
+    entry = new TestEntry(() -> configuration);
+    targets = entry.targets();
+    target = entry.announce("t");
   }
 
   @AfterEach
   void stop() throws IOException {
-    server.close();
+    entry.close();
     target.close();
-    group.shutdownGracefully();
   }
 
   private Socket send(String bytes) throws IOException {
-    Socket caller = new Socket(LOOPBACK, port);
+    Socket caller = new Socket(LOOPBACK, entry.address().getPort());
     caller.setSoTimeout(TIMEOUT_MILLIS);
     caller.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     caller.getOutputStream().flush();
@@ -514,15 +441,6 @@
     assertThat(relayed("HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\ngood")).endsWith("\r\n\r\ngood");
   }
 
-  private ServerSocket announceAnother(String id) throws IOException {
-    ServerSocket another = new ServerSocket(0, 10, LOOPBACK);
-    another.setSoTimeout(TIMEOUT_MILLIS);
-    targets.onAnnounced(
-        new Target(id, "s", LOOPBACK.getHostAddress(), another.getLocalPort(), "z", 2, false, 1),
-        new LogPosition(1, 1));
-    return another;
-  }
-
   /**
    * Simulates a target process that crashes while it runs a request: closes its port and the
    * connection.
@@ -544,11 +462,11 @@
     String poison = "GET /stream/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
     try (Socket caller = send(poison)) {
       Socket atFirst = acceptRequest(target);
-      ServerSocket second = announceAnother("u");
+      ServerSocket second = entry.announce("u");
       crash(target, atFirst);
       Socket atSecond = acceptRequest(second);
       targets.onDropped("t", 0, now());
-      try (ServerSocket third = announceAnother("v")) {
+      try (ServerSocket third = entry.announce("v")) {
         crash(second, atSecond);
         assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 502 ");
         targets.onDropped("u", 0, now());
@@ -565,7 +483,7 @@
         }
       }
     }
-    assertThat(broadcasts).hasSize(2);
+    assertThat(entry.broadcasts()).hasSize(2);
   }
 
   // Guards against quarantining a request because a target lost some responses.
@@ -577,7 +495,7 @@
       }
       assertThat(readHead(caller.getInputStream())).startsWith("HTTP/1.1 502 ");
     }
-    assertThat(broadcasts).isEmpty();
+    assertThat(entry.broadcasts()).isEmpty();
   }
 
   /** Announces a target in a zone that is evacuated. */
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
@@ -0,0 +1,143 @@
+package dev.ibishub.gateway.front;
+
+import dev.ibishub.core.entries.LogPosition;
+import dev.ibishub.core.serving.LimitDivision;
+import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.core.serving.RetryLimits;
+import dev.ibishub.core.serving.SharedLimits;
+import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.model.Route;
+import dev.ibishub.gateway.model.ServingConfiguration;
+import dev.ibishub.gateway.model.Target;
+import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.generated.Frame;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+/** One entry that serves callers over real connections, for tests that play callers and targets. */
+final class TestEntry implements AutoCloseable {
+  static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+
+  /** Longest wait of a test for bytes or connections, milliseconds. */
+  static final int TIMEOUT_MILLIS = 60_000;
+
+  /** Requests that count before the first one, so that no test depends on the retry budget. */
+  private static final int EARLIER_REQUESTS = 10;
+
+  private static final String SERVICE = "s";
+  private static final long AIM_MILLIS = 500;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<Frame> broadcasts = new CopyOnWriteArrayList<>();
+  private final CrashDetector crashes = new CrashDetector(broadcasts::add);
+  private final TargetDirectory targets = new TargetDirectory("z", crashes::onIncarnationEnded);
+  private final CallerServer server;
+  private final int port;
+
+  /** Starts an entry without targets. */
+  TestEntry(Supplier<Optional<ServingConfiguration>> configuration) throws IOException {
+    RetryBudgets budgets =
+        new RetryBudgets(
+            new RetryLimits(1, 10, 10_000),
+            MonotonicClock.millis(),
+            true,
+            new PrometheusRegistry());
+    IntStream.range(0, EARLIER_REQUESTS)
+        .forEach(any -> budgets.onRequest(SERVICE, MonotonicClock.millis()));
+    server =
+        new CallerServer(
+            new RequestContext(
+                new PlainDialect(),
+                configuration,
+                targets,
+                budgets,
+                new ServiceStatistics(),
+                crashes,
+                new TargetLimits(
+                    new SharedLimits("own", LimitDivision.amongFewHolders()),
+                    broadcasts::add,
+                    new PrometheusRegistry()),
+                new ServiceAdmission(
+                    AdmissionMode.AUTOMATIC,
+                    configuration,
+                    targets,
+                    () -> 1,
+                    new NeverStops(),
+                    WorkspaceShares.EQUAL,
+                    new PrometheusRegistry()),
+                () -> 1,
+                new NeverStops(),
+                new RequestMetrics(new PrometheusRegistry()),
+                MonotonicClock.millis()));
+    try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
+      port = free.getLocalPort();
+    }
+    server.listen(group, new InetSocketAddress(LOOPBACK, port));
+  }
+
+  /** Returns a route to the only service; its requests may run on two targets if repeatable. */
+  static Route route(String prefix, RequestKind kind) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        TIMEOUT_MILLIS,
+        AIM_MILLIS,
+        0,
+        0,
+        List.of(new Route.Destination(SERVICE, 1)),
+        kind.isRepeatable() ? 2 : 1,
+        false);
+  }
+
+  /** Opens the port of a target, and announces it. */
+  ServerSocket announce(String id) throws IOException {
+    return announce(id, 10);
+  }
+
+  /**
+   * Opens the port of a target, and announces it.
+   *
+   * @param backlog how many connections may wait to be accepted, as for {@link ServerSocket}
+   */
+  ServerSocket announce(String id, int backlog) throws IOException {
+    ServerSocket target = new ServerSocket(0, backlog, LOOPBACK);
+    target.setSoTimeout(TIMEOUT_MILLIS);
+    targets.onAnnounced(
+        new Target(id, SERVICE, LOOPBACK.getHostAddress(), target.getLocalPort(), "z", 2, false, 1),
+        new LogPosition(1, 1));
+    return target;
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(LOOPBACK, port);
+  }
+
+  TargetDirectory targets() {
+    return targets;
+  }
+
+  /** Returns the messages that the entry sent to other entries. */
+  List<Frame> broadcasts() {
+    return broadcasts;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    group.shutdownGracefully();
+  }
+}
--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -42,6 +42,9 @@
 
   private static final int REQUESTS = 40;
 
+  /** More than an entry holds back until a response is complete. */
+  private static final int LARGE_BODY_BYTES = 400_000;
+
   private Deployment deployment;
   private TargetStandIn first;
   private TargetStandIn second;
@@ -136,6 +139,23 @@
     }
   }
 
+  // Guards against a response that is joined from two targets' bodies and looks complete.
+  @Test
+  void largeResponseThatBreaksOffIsNotCompletedByAnotherTarget() throws InterruptedException {
+    List.of(first, second).forEach(target -> target.setBodyBytes(LARGE_BODY_BYTES));
+    first.breakBodiesAfter(LARGE_BODY_BYTES * 3 / 4);
+    int cut = 0;
+    for (int i = 0; i < REQUESTS; i++) {
+      try {
+        assertThat(page("entry-1").body()).hasSize(LARGE_BODY_BYTES);
+      } catch (IOException e) {
+        cut++;
+      }
+    }
+
+    assertThat(cut).isPositive().isLessThan(REQUESTS);
+  }
+
   private boolean hasReceivedCrashReports(String entry, int crashes) throws IOException {
     return deployment.logOf(entry).lines().filter(line -> line.contains("crash.told")).count()
         >= crashes;
