Send a request again once when both its hedged attempts have failed

A request whose first target broke off and whose hedged second one refused was sent twice more at the same time: the refusal's retry waits 250 ms, and the check whether the first target crashed, which takes up to 100 ms, started another one meanwhile.

Cause: after a failure Exchange looked for open attempts, not for a send that waits for its time. It now remembers that one is scheduled.

BrokenResponseTest#requestIsSentAgainOnceAfterBothHedgedAttemptsFailed: without the flag the second target got two more requests (the test's write met a closed connection), with it one.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -82,6 +82,9 @@
   private CrashGuard guard;
   private RetryGate retries;
 
+  /** Whether a send that waits for its time is scheduled. */
+  private boolean isSendScheduled;
+
   /** The request for admission, if the service has any. */
   private Optional<AdmissionTicket> ticket = Optional.empty();
 
@@ -262,13 +265,19 @@
   }
 
   private void sendUnlessOver() {
+    isSendScheduled = false;
     if (!isOver) {
       send();
     }
   }
 
   private void sendLater() {
-    loop.schedule(this::sendUnlessOver, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    scheduleSend(CHECK_MILLIS);
+  }
+
+  private void scheduleSend(long delayMillis) {
+    isSendScheduled = true;
+    loop.schedule(this::sendUnlessOver, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   private int sends() {
@@ -642,7 +651,7 @@
     if (isOver) {
       return;
     }
-    boolean isOtherUnderWay = !attempts.isEmpty();
+    boolean isOtherUnderWay = !attempts.isEmpty() || isSendScheduled;
     boolean isRetried =
         !isOtherUnderWay && !isCallersFault && retries.tryTakeRetry(0, MonotonicClock.millis());
     log.attemptFailed(outcome, cause, writtenBytes, isRetried, sends());
@@ -671,7 +680,7 @@
     }
     // Targets that refused the request may accept it after the pause.
     tried.clear();
-    loop.schedule(this::sendUnlessOver, pause, TimeUnit.MILLISECONDS);
+    scheduleSend(pause);
   }
 
   private void onDeadline() {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.RequestKind;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.ServingConfiguration;
+import dev.ibishub.runtime.MonotonicClock;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
@@ -33,6 +34,7 @@
   private static final int BUFFERED_BYTES = 256 << 10;
 
   private static final int WHOLE_BYTES = 400_000;
+  private static final int LONGER_THAN_RETRY_DELAY_MILLIS = 600;
   private static final String SIGNED = "HTTP/1.1 200 OK\r\nsigned: 1\r\n";
   private static final String STREAM = SIGNED + "Content-Type: text/event-stream\r\n\r\n";
   private static final String FIRST = "a".repeat(WHOLE_BYTES);
@@ -102,6 +104,15 @@
         entry.address(), "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   }
 
+  /** Waits until the entry has noticed that all its attempts at a target ended. */
+  private void awaitNoAttemptAt(String id) throws InterruptedException {
+    while (entry.targets().usable("s").stream()
+        .filter(each -> each.target().id().equals(id))
+        .anyMatch(each -> each.load().requests(MonotonicClock.millis(), 1) > 0)) {
+      Thread.sleep(1);
+    }
+  }
+
   /** Accepts an attempt and reads its request. */
   private static Socket accept(ServerSocket at) throws IOException {
     Socket accepted = at.accept();
@@ -148,7 +159,11 @@
   }
 
   private static boolean hasRequest(ServerSocket at) throws IOException {
-    at.setSoTimeout(1);
+    return hasRequestWithin(at, 1);
+  }
+
+  private static boolean hasRequestWithin(ServerSocket at, int millis) throws IOException {
+    at.setSoTimeout(millis);
     try (Socket accepted = at.accept()) {
       return true;
     } catch (SocketTimeoutException e) {
@@ -217,6 +232,35 @@
     }
   }
 
+  // Guards against two attempts at once after a failure: one waits for its time, and the other for
+  // the check whether its request crashed the first target.
+  @Test
+  void requestIsSentAgainOnceAfterBothHedgedAttemptsFailed()
+      throws IOException, InterruptedException {
+    try (ServerSocket busy = entry.announce("b", 1)) {
+      entry.targets().onDropped("t", 0, MonotonicClock.millis());
+      try (RawCaller caller = call("/any/x");
+          Socket first = accept(busy);
+          ServerSocket other = entry.announce("u");
+          Socket second = accept(other);
+          Socket inQueue = new Socket(TestEntry.LOOPBACK, busy.getLocalPort());
+          Socket alsoInQueue = new Socket(TestEntry.LOOPBACK, busy.getLocalPort())) {
+        first.close();
+        awaitNoAttemptAt("b");
+        entry.targets().onDropped("b", 0, MonotonicClock.millis());
+        write(second, "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n");
+        try (Socket third = accept(other)) {
+          assertThat(inQueue.isConnected() && alsoInQueue.isConnected()).isTrue();
+          assertThat(hasRequestWithin(other, LONGER_THAN_RETRY_DELAY_MILLIS)).isFalse();
+          write(third, Framing.LENGTH.response(SECOND, WHOLE_BYTES));
+        }
+
+        assertThat(caller.await().isComplete()).isTrue();
+        assertThat(caller.await().body()).isEqualTo(SECOND);
+      }
+    }
+  }
+
   // Guards against a second attempt's response behind the part of the one that began first.
   @Test
   void hedgedResponseThatBreaksOffIsNotJoinedWithTheOther()
