Show callers of HTTP/1.0 that a response was cut

A caller of HTTP/1.0 took a cut response for a whole one: it gets no chunks, so the end of the connection ended the body, and an aborted response closed the connection as a complete one does.

A declared length of a body that is passed on as it arrives is now passed on, too, so that callers of any version see that bytes are missing. Without a declared length, and for event streams, whose length changes when they are resumed, the connection of such a caller is set to be reset on close until the response is complete.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -37,6 +38,7 @@
   private TargetCall call;
   private TargetResponse response;
   private HttpHeaders headers;
+  private OptionalLong declaredLength = OptionalLong.empty();
   private boolean isPassingThrough;
   private boolean hasPassedOnEvent;
   private boolean isOver;
@@ -59,8 +61,11 @@
     /**
      * Called before the first piece of a response that is passed on as it arrives; for an event
      * stream, before each event and before the end.
+     *
+     * @param bodyLength length that the target declares, bytes; empty for none and for event
+     *     streams
      */
-    void onBegin(int status, HttpHeaders headers);
+    void onBegin(int status, HttpHeaders headers, OptionalLong bodyLength);
 
     /** Called with a piece of a body that is no event stream. */
     void onPiece(byte[] bytes);
@@ -109,6 +114,7 @@
   public void onHead(HttpResponse head) {
     response = dialect.read(head);
     headers = new DefaultHttpHeaders().set(head.headers());
+    declaredLength = declaredLength(head);
     HopByHopHeaders.removeFrom(headers);
     boolean isForOtherAttempt = response.attemptId().map(id -> !id.equals(attemptId)).orElse(false);
     if (!isForOtherAttempt && response.status() != MISDIRECTED) {
@@ -132,6 +138,12 @@
     }
   }
 
+  private static OptionalLong declaredLength(HttpResponse head) {
+    return HttpUtil.isTransferEncodingChunked(head) || !HttpUtil.isContentLengthSet(head)
+        ? OptionalLong.empty()
+        : OptionalLong.of(HttpUtil.getContentLength(head));
+  }
+
   @Override
   public void onBody(byte[] bytes) {
     if (isOver) {
@@ -185,7 +197,7 @@
     buffered.writeBytes(bytes);
     if (buffered.size() > MAXIMUM_BUFFERED_BYTES && response.isSuccess()) {
       isPassingThrough = true;
-      listener.onBegin(response.status(), headers);
+      listener.onBegin(response.status(), headers, declaredLength);
       listener.onPiece(buffered.toByteArray());
       buffered.reset();
     }
@@ -213,7 +225,7 @@
               .formatted(nameOf(event.id()), nameOf(delivered.lastEventId())));
     } else if (order == DeliveredResponse.EventOrder.NEXT) {
       hasPassedOnEvent |= !event.isComment();
-      listener.onBegin(response.status(), headers);
+      listener.onBegin(response.status(), headers, OptionalLong.empty());
       listener.onEvent(event);
     }
   }
@@ -228,7 +240,7 @@
       return;
     }
     isOver = true;
-    listener.onBegin(response.status(), headers);
+    listener.onBegin(response.status(), headers, OptionalLong.empty());
     listener.onEnd();
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerResponse.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerResponse.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -27,12 +29,18 @@
  * connection; not thread-safe.
  */
 final class CallerResponse {
+  /** Values of {@code SO_LINGER}. */
+  private static final int RESET_ON_CLOSE = 0;
+
+  private static final int CLOSE_GRACEFULLY = -1;
+
   private final Channel channel;
   private final boolean isHeadRequest;
   private final boolean callerKeepsAlive;
   private final boolean callerAcceptsChunks;
   private final BooleanSupplier isLeaving;
   private boolean isHeadWritten;
+  private boolean isEndedByClose;
 
   /**
    * Creates the writer of one response.
@@ -92,14 +100,24 @@
     writeWhole(code.httpStatus(), headers, body.getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Writes the head of a response whose length is not known. */
-  void writeHead(int status, HttpHeaders headers) {
+  /**
+   * Writes the head of a response whose body follows in pieces.
+   *
+   * @param bodyLength length of the body, bytes; empty if it isn't known
+   */
+  void writeHead(int status, HttpHeaders headers, OptionalLong bodyLength) {
     isHeadWritten = true;
     var response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().set(headers);
-    if (callerAcceptsChunks) {
+    if (bodyLength.isPresent()) {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyLength.getAsLong());
+    } else if (callerAcceptsChunks) {
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      // The close ends the body, so a connection that is closed before has to be reset.
+      isEndedByClose = true;
+      setLinger(RESET_ON_CLOSE);
     }
     HttpUtil.setKeepAlive(response, keepsAlive());
     channel.write(response);
@@ -112,6 +130,9 @@
 
   /** Completes a response whose head was written. */
   void finish() {
+    if (isEndedByClose) {
+      setLinger(CLOSE_GRACEFULLY);
+    }
     closeUnlessKeptAlive(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepsAlive());
   }
 
@@ -123,6 +144,12 @@
     channel.close();
   }
 
+  private void setLinger(int value) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, value);
+    }
+  }
+
   private boolean keepsAlive() {
     return callerKeepsAlive && callerAcceptsChunks && !isLeaving.getAsBoolean();
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -566,10 +566,10 @@
     }
 
     @Override
-    public void onBegin(int status, HttpHeaders headers) {
+    public void onBegin(int status, HttpHeaders headers, OptionalLong bodyLength) {
       endOthers();
       if (!response.isHeadWritten()) {
-        response.writeHead(status, headers);
+        response.writeHead(status, headers, bodyLength);
       }
     }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
@@ -100,8 +100,13 @@
   }
 
   private RawCaller call(String path) throws IOException {
+    return call(path, "HTTP/1.1");
+  }
+
+  private RawCaller call(String path, String version) throws IOException {
     return RawCaller.send(
-        entry.address(), "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        entry.address(),
+        "GET " + path + " " + version + "\r\nHost: h\r\nConnection: close\r\n\r\n");
   }
 
   /** Waits until the entry has noticed that all its attempts at a target ended. */
@@ -217,6 +222,35 @@
     }
   }
 
+  // Guards against a caller of HTTP/1.0 that takes the part before the cut for the whole response.
+  @ParameterizedTest
+  @EnumSource(Framing.class)
+  void largePartIsNotCompleteForCallerWithoutChunks(Framing framing)
+      throws IOException, InterruptedException {
+    try (RawCaller caller = call("/any/x", "HTTP/1.0");
+        Socket first = accept(target)) {
+      write(first, framing.response(FIRST, BUFFERED_BYTES + 1));
+      caller.awaitEnd("a");
+      end(first, framing);
+
+      assertThat(caller.await().isComplete()).isFalse();
+    }
+  }
+
+  // Guards against a complete response that is reset because a cut one would be.
+  @ParameterizedTest
+  @EnumSource(Framing.class)
+  void largeWholeResponseIsCompleteForCallerWithoutChunks(Framing framing) throws IOException {
+    try (RawCaller caller = call("/any/x", "HTTP/1.0");
+        Socket first = accept(target)) {
+      write(first, framing.response(FIRST, WHOLE_BYTES));
+      first.close();
+
+      assertThat(caller.await().isComplete()).isTrue();
+      assertThat(caller.await().body()).isEqualTo(FIRST);
+    }
+  }
+
   // Guards against two hedged attempts whose bodies are mixed, as both targets begin at once.
   @Test
   void onlyOneOfTwoHedgedResponsesIsPassedOn() throws IOException {
@@ -356,4 +390,17 @@
       assertThat(caller.await().body()).isEqualTo(events + "id: 2\ndata: y\n\n");
     }
   }
+
+  // Guards against a caller of HTTP/1.0 that takes a stream that was cut for one that ended.
+  @Test
+  void cutStreamIsNotCompleteForCallerWithoutChunks() throws IOException, InterruptedException {
+    try (RawCaller caller = call("/any/x", "HTTP/1.0");
+        Socket first = accept(target)) {
+      write(first, STREAM + "id: 1\ndata: x\n\n");
+      caller.awaitEnd("data: x\n\n");
+      reset(first);
+
+      assertThat(caller.await().isComplete()).isFalse();
+    }
+  }
 }
