Read on from where the log ended when its list began

Ruled out: an expiry during an outage (no target.lapsed), and a tombstone that was dropped on its way (no batch of these offsets was read).

Now KeyedLog gives pages, and ListedRecords joins them: the list counts as of the lowest end of its pages, and where the log grew meanwhile the rest is read at once, in order. Records beyond that end are ordered by their positions as before; RecordCopy no longer counts them as part of an older copy. A list that another entry's list overtook is no failure. Where the rest is no longer kept, the next list waits for the next turn instead of following at once, again and again.

Calls: an unchanged log costs its pages, as before; one that changed costs one read more. An entry is ready with the list, as before.

FakeKeyedLog and StoreStandIn list in pages of two records and let a test write between them; the model of the store's return lists in pages, too, with the same draws.

--- a/core/src/main/java/dev/ibishub/core/entries/ReadSchedule.java
+++ b/core/src/main/java/dev/ibishub/core/entries/ReadSchedule.java
@@ -40,7 +40,10 @@
   private long retryAt = NEVER;
   private long restUntil = NEVER;
 
-  /** When this entry reads a log that came back from an older copy; NOT_DUE if it did not. */
+  /**
+   * When this entry reads although its turn has not come, as the log came back from an older copy
+   * or its own copy is incomplete; NOT_DUE if neither is so.
+   */
   private long rereadAt = NOT_DUE;
 
   /** Whether this entry has to read or pass on although its own turn has not come. */
@@ -106,10 +109,10 @@
     if (now < retryAt) {
       return Decision.NOTHING;
     }
-    return read(now, turn == 0 && !hasLogReturned() ? turns.get().waitMillis() : 0);
+    return read(now, turn == 0 && !hasToReread() ? turns.get().waitMillis() : 0);
   }
 
-  private boolean hasLogReturned() {
+  private boolean hasToReread() {
     return rereadAt != NOT_DUE;
   }
 
@@ -135,7 +138,7 @@
    * @param waitMillis time that the store may hold the read open, milliseconds
    */
   public Decision onTurnReceived(long now, long waitMillis) {
-    boolean isOutdated = !hasLogReturned() && now < confirmedAt + turns.get().periodMillis();
+    boolean isOutdated = !hasToReread() && now < confirmedAt + turns.get().periodMillis();
     if (isOutdated || (isReading && now < overdueAt)) {
       return Decision.NOTHING;
     }
@@ -191,6 +194,23 @@
     hasPassed = false;
   }
 
+  /**
+   * Records that the copy that was just confirmed lacks some of what changed while it was listed.
+   */
+  public void onCopyIncomplete(long now) {
+    rereadAt = now;
+  }
+
+  /**
+   * Records that the log no longer has the records that a read was to begin with. The next read is
+   * of a snapshot: at once, unless the lost records were to complete one that was just read.
+   * Otherwise an entry whose history expires that fast would list the topic again and again.
+   */
+  public void onHistoryLost() {
+    onReadDone();
+    rereadAt = NOT_DUE;
+  }
+
   /** Records that the outcome of the open read, if there is one, no longer matters. */
   public void onReadAbandoned() {
     isReading = false;
--- a/gateway/src/main/java/dev/ibishub/gateway/records/KeyedLog.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/KeyedLog.java
@@ -9,11 +9,13 @@
  */
 public interface KeyedLog {
   /**
-   * Reads the newest record of every key.
+   * Reads one page of the list with the newest record of every key that exists. Pages are no
+   * snapshot: each is as of its own time ({@link ListedRecords}).
    *
    * @param topic name of the log
+   * @param after the last key of the page before; empty for the first page
    */
-  CompletableFuture<RecordBatch> newest(String topic);
+  CompletableFuture<RecordPage> newestPage(String topic, String after);
 
   /**
    * Reads records in order.
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordBatch.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordBatch.java
@@ -7,7 +7,8 @@
  * The result of a read of a keyed log: either a range of records or a snapshot.
  *
  * @param from offset at which the read began, in the epoch of the end; 0 for a snapshot
- * @param end exclusive end position of the records that the batch covers
+ * @param end exclusive end position up to which the batch covers the log. A snapshot may hold later
+ *     records: of these it has some only, so they are read again
  * @param isSnapshot whether this is a snapshot, that is, the newest record of every key that exists
  * @param records the records in the order of their positions
  */
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordCopy.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordCopy.java
@@ -126,7 +126,10 @@
       end = batch.end();
     }
     earlierEnds.add(end.offset(), now);
-    batch.records().forEach(record -> offer(record, batch.isSnapshot(), now));
+    // Records beyond a snapshot's end were written since, so they are no part of a copy.
+    batch
+        .records()
+        .forEach(record -> offer(record, batch.isSnapshot() && isBeforeEnd(record, batch), now));
     if (batch.isSnapshot()) {
       deleteMissing(batch, now);
     }
@@ -135,9 +138,14 @@
     }
   }
 
+  private static boolean isBeforeEnd(KeyedRecord record, RecordBatch batch) {
+    return record.position().isBefore(batch.end());
+  }
+
   /** Returns the end of those records of a batch that were known before. */
   private long knownUntil(RecordBatch batch) {
     return batch.records().stream()
+        .filter(record -> isBeforeEnd(record, batch))
         .filter(
             record ->
                 newest(record.key())
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -70,6 +70,10 @@
   private long latestEpoch = LogPosition.UNSTATED_EPOCH;
   private long lastRead;
   private boolean isReadingSnapshot;
+
+  /** Where the copy ended when the open read began. */
+  private LogPosition endWhenAsked;
+
   private boolean historyLost;
   private boolean reachable = true;
   private long outageMillis;
@@ -231,14 +235,36 @@
     long number;
     synchronized (this) {
       needsSnapshot = !copy.isKnown() || historyLost || isCopyOfEarlierEpoch();
+      endWhenAsked = copy.end();
       from = copy.end().offset();
       isReadingSnapshot = needsSnapshot;
       lastRead++;
       number = lastRead;
     }
-    var batch =
-        needsSnapshot ? log.newest(options.topic()) : log.read(options.topic(), from, waitMillis);
-    batch.whenComplete((read, failure) -> onReadDone(number, read, failure));
+    if (needsSnapshot) {
+      ListedRecords.read(log, options.topic())
+          .whenComplete((listed, failure) -> onListed(number, listed, failure));
+    } else {
+      log.read(options.topic(), from, waitMillis)
+          .whenComplete((batch, failure) -> onReadDone(number, batch, failure, false));
+    }
+  }
+
+  private void onListed(long number, ListedRecords listed, Throwable failure) {
+    if (failure != null) {
+      onReadDone(number, null, failure, false);
+      return;
+    }
+    RecordBatch snapshot = listed.snapshot();
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("store.listed")
+            .with("topic", options.topic())
+            .with("pages", listed.pages())
+            .with("records", snapshot.records().size())
+            .with("end", snapshot.end().offset())
+            .with("latest_end", listed.latestEnd().offset()));
+    onReadDone(number, snapshot, null, listed.isTorn());
   }
 
   private boolean isCopyOfEarlierEpoch() {
@@ -322,6 +348,7 @@
     boolean isApplicable = copy.isApplicable(batch);
     if (isApplicable) {
       applyBatch(batch, now);
+      historyLost = historyLost && !isNewer;
       return isNewer;
     }
     if (batch.isSnapshot()) {
@@ -341,7 +368,13 @@
     return false;
   }
 
-  private void onReadDone(long number, RecordBatch batch, Throwable failure) {
+  /**
+   * Takes in the outcome of a read.
+   *
+   * @param isTorn whether the batch lacks some of what changed while it was listed, which is read
+   *     at once
+   */
+  private void onReadDone(long number, RecordBatch batch, Throwable failure, boolean isTorn) {
     long now = options.clock().getAsLong();
     Optional<RecordBatch> toBroadcast = Optional.empty();
     OptionalLong deletionsFrom = OptionalLong.empty();
@@ -355,14 +388,17 @@
         boolean isReturn = isReturn(batch);
         toBroadcast = takeIn(batch, now);
         deletionsFrom = isReturn ? copy.deletionsFrom() : deletionsFrom;
+        if (isTorn && toBroadcast.isPresent()) {
+          schedule.onCopyIncomplete(now);
+        }
       }
     }
-    if (toBroadcast.isEmpty()) {
-      // The next entry is to read at once, not when this one ticks again.
-      actIfDue(now);
-    }
     toBroadcast.ifPresent(onRead);
     deletionsFrom.ifPresent(this::readDeletions);
+    if (toBroadcast.isEmpty() || isTorn) {
+      // The next entry, or this one, is to read at once, not when this one ticks again.
+      actIfDue(now);
+    }
   }
 
   /** Reads tombstones that were written between the log's return and the first snapshot of it. */
@@ -404,7 +440,7 @@
   /** Applies a batch that the store returned, and returns what the other entries need of it. */
   private Optional<RecordBatch> takeIn(RecordBatch batch, long now) {
     raiseEpoch(batch.epoch(), true, now);
-    boolean isStaleSnapshot = batch.isSnapshot() && batch.end().isBefore(copy.end());
+    boolean isStaleSnapshot = batch.isSnapshot() && batch.end().isBefore(endWhenAsked);
     if (isStaleSnapshot || batch.epoch() < latestEpoch) {
       logger.atWarning().log(
           "%s",
@@ -420,7 +456,8 @@
     schedule.onReadDone();
     onReachable(now);
     if (!copy.isApplicable(batch)) {
-      // The log came back and has grown past the offset that this read began at.
+      // The log came back and has grown past the offset that this read began at, or another entry's
+      // snapshot, which is as good, came while this one was listed.
       return Optional.empty();
     }
     historyLost = historyLost && !batch.isSnapshot();
@@ -472,7 +509,7 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof KeyedLog.HistoryLostException) {
       historyLost = true;
-      schedule.onReadDone();
+      schedule.onHistoryLost();
       logger.atInfo().log(
           "%s",
           LogEvent.of("store.history_lost")
--- a/gateway/src/test/java/dev/ibishub/gateway/records/FakeKeyedLog.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/FakeKeyedLog.java
@@ -3,17 +3,24 @@
 import dev.ibishub.core.entries.LogPosition;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
-/** An in-memory keyed log that can be down, lose its history, or return stale snapshots. */
+/**
+ * An in-memory keyed log that can be down, lose its history, or answer as of an earlier time. It
+ * lists its keys in small pages, and lets a test write between two of them.
+ */
 public final class FakeKeyedLog implements KeyedLog {
   static final long EPOCH = 1;
 
+  private static final int PAGE_RECORDS = 2;
+
   private final List<KeyedRecord> records = new ArrayList<>();
+  private int pageRecords = PAGE_RECORDS;
+  private Runnable betweenPages = () -> {};
   private int firstRetained;
   private int visibleEnd = Integer.MAX_VALUE;
   private boolean isDown;
@@ -44,10 +51,28 @@
     visibleEnd = end;
   }
 
+  /** Sets the maximum number of records on a page. */
+  void setPageRecords(int maximum) {
+    pageRecords = maximum;
+  }
+
+  /** Sets what happens after each page but the last, before the next one is read. */
+  void setBetweenPages(Runnable action) {
+    betweenPages = action;
+  }
+
   int calls() {
     return calls;
   }
 
+  /** Returns the newest record of each key that exists, by key. */
+  Map<String, KeyedRecord> newest() {
+    Map<String, KeyedRecord> byKey = new TreeMap<>();
+    records.subList(0, end()).forEach(record -> byKey.put(record.key(), record));
+    byKey.values().removeIf(KeyedRecord::isTombstone);
+    return byKey;
+  }
+
   private void add(String key, byte[] value) {
     records.add(new KeyedRecord(new LogPosition(EPOCH, records.size()), key, Optional.of(value)));
   }
@@ -57,17 +82,21 @@
   }
 
   @Override
-  public CompletableFuture<RecordBatch> newest(String topic) {
+  public CompletableFuture<RecordPage> newestPage(String topic, String after) {
+    if (!after.isEmpty()) {
+      betweenPages.run();
+    }
     calls++;
     if (isDown) {
       return CompletableFuture.failedFuture(new IllegalStateException("down"));
     }
-    Map<String, KeyedRecord> byKey = new LinkedHashMap<>();
-    records.subList(0, end()).forEach(record -> byKey.put(record.key(), record));
-    List<KeyedRecord> present =
-        byKey.values().stream().filter(record -> record.value().isPresent()).toList();
+    List<KeyedRecord> left =
+        newest().values().stream().filter(record -> record.key().compareTo(after) > 0).toList();
     return CompletableFuture.completedFuture(
-        new RecordBatch(0, new LogPosition(EPOCH, end()), true, present));
+        new RecordPage(
+            left.stream().limit(pageRecords).toList(),
+            new LogPosition(EPOCH, end()),
+            left.size() > pageRecords));
   }
 
   @Override
--- a/node/src/test/java/dev/ibishub/node/EntryAnnouncementTest.java
+++ b/node/src/test/java/dev/ibishub/node/EntryAnnouncementTest.java
@@ -4,6 +4,7 @@
 
 import dev.ibishub.gateway.records.KeyedLog;
 import dev.ibishub.gateway.records.RecordBatch;
+import dev.ibishub.gateway.records.RecordPage;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +31,7 @@
   /** A store that accepts appends, or rejects them at once. */
   private final class Store implements KeyedLog {
     @Override
-    public CompletableFuture<RecordBatch> newest(String topic) {
+    public CompletableFuture<RecordPage> newestPage(String topic, String after) {
       throw new UnsupportedOperationException("no reads expected");
     }
 
--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -221,11 +222,40 @@
   @Test
   void drainingTargetGetsNoMoreRequests() throws IOException, InterruptedException {
     deployment.store().put("keyed.servers", "i-1", first.announcement("pages", "draining"));
-    deployment.await("target left", () -> getsNoneOfNext(first, 10));
+    deployment.await("target left", () -> getsNoneOfNext(first, 10, "entry-1", "entry-2"));
 
     assertThat(page("entry-2").statusCode()).isEqualTo(200);
   }
 
+  // Guards against requests to a target until it ends, and against a target that never gets any:
+  // the record of one was deleted, and that of the other written, while entries that had just
+  // started listed the records.
+  @Test
+  void changesWhileRestartedEntriesListTargetsAreNoticed()
+      throws IOException, InterruptedException {
+    deployment.startTarget("i-3", "127.0.0.1", "pages");
+    TargetStandIn added = deployment.startUnannouncedTarget("i-0", "127.0.0.1");
+    deployment.process("entry-1").destroyForcibly();
+    deployment.process("entry-2").destroyForcibly();
+    AtomicBoolean isChanged = new AtomicBoolean();
+    deployment
+        .store()
+        .setOnPageServed(
+            topic -> {
+              if (topic.equals("keyed.servers") && !isChanged.getAndSet(true)) {
+                deployment.store().put(topic, "i-1", "");
+                deployment.store().put(topic, "i-0", added.announcement("pages", "ready"));
+              }
+            });
+    deployment.startEntry("entry-2", "127.0.1.2", "127.0.1.2");
+    deployment.await("serves", () -> page("entry-2").statusCode() == 200);
+
+    assertThat(isChanged).isTrue();
+    deployment.await("deletion noticed", () -> hasNoticedEnd("entry-2", "i-1"));
+    assertThat(getsNoneOfNext(first, REQUESTS, "entry-2")).isTrue();
+    deployment.await("added target gets requests", () -> !getsNoneOfNext(added, 1, "entry-2"));
+  }
+
   @Test
   void targetThatIsGoneWithoutNoticeCostsNoRequest() throws IOException, InterruptedException {
     assertLostTargetCostsNoRequest("entry-1", "entry-2");
@@ -265,12 +295,20 @@
     assertThat(page(entry).statusCode()).isEqualTo(200);
   }
 
-  private boolean getsNoneOfNext(TargetStandIn target, int requests)
+  private boolean hasNoticedEnd(String entry, String target) throws IOException {
+    return deployment
+        .logOf(entry)
+        .lines()
+        .anyMatch(line -> line.contains("target.gone") && line.contains(target));
+  }
+
+  private boolean getsNoneOfNext(TargetStandIn target, int requests, String... entries)
       throws IOException, InterruptedException {
     int before = target.executedAttempts().size();
     for (int i = 0; i < requests; i++) {
-      page("entry-1");
-      page("entry-2");
+      for (String entry : entries) {
+        page(entry);
+      }
     }
     return target.executedAttempts().size() == before;
   }
--- a/node/src/test/java/dev/ibishub/node/StoreReturnFleet.java
+++ b/node/src/test/java/dev/ibishub/node/StoreReturnFleet.java
@@ -9,6 +9,7 @@
 import dev.ibishub.gateway.records.KeyedLog;
 import dev.ibishub.gateway.records.KeyedRecord;
 import dev.ibishub.gateway.records.RecordBatch;
+import dev.ibishub.gateway.records.RecordPage;
 import dev.ibishub.platform.StoreClient;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.ReadTurn;
@@ -92,7 +93,7 @@
   private static final long QUIET = 64_000;
   private static final long END = 74_000;
   private static final long CALL = 2;
-  private static final long PAGE = 5;
+  private static final int FIRST_PAGE = 2;
   private static final long LINK = 3;
   private static final long READ_MARGIN = 900;
   private static final long CALL_TIMEOUT = 1_500;
@@ -368,26 +369,30 @@
     }
 
     @Override
-    public CompletableFuture<RecordBatch> newest(String topic) {
-      CompletableFuture<RecordBatch> result = new CompletableFuture<>();
+    public CompletableFuture<RecordPage> newestPage(String topic, String after) {
+      CompletableFuture<RecordPage> result = new CompletableFuture<>();
       call(
           result,
           CALL_TIMEOUT,
           () -> {
-            long firstEpoch = epoch;
+            if (!after.isEmpty()) {
+              RecordPage rest = page(topic, after, now, Integer.MAX_VALUE);
+              respond(result, () -> CompletableFuture.completedFuture(rest));
+              return;
+            }
             long staleness = random.nextInt(8) == 0 ? STALENESS : 0;
-            long asOf = Math.max(epochFrom, now - staleness);
-            RecordBatch batch = snapshot(topic, asOf);
             boolean hasTwoPages = random.nextInt(4) == 0;
-            after(
-                hasTwoPages ? PAGE : 0,
-                () -> {
-                  if (isAway() || firstEpoch != epoch) {
-                    respond(result, () -> failure("came back between two pages"));
-                  } else {
-                    respond(result, () -> CompletableFuture.completedFuture(batch));
-                  }
-                });
+            RecordPage first =
+                page(
+                    topic,
+                    after,
+                    Math.max(epochFrom, now - staleness),
+                    hasTwoPages ? FIRST_PAGE : Integer.MAX_VALUE);
+            if (first.hasMore()) {
+              respondIn(CALL, result, () -> CompletableFuture.completedFuture(first));
+            } else {
+              respond(result, () -> CompletableFuture.completedFuture(first));
+            }
           });
       return result;
     }
@@ -474,14 +479,21 @@
       return CompletableFuture.failedFuture(new IOException(cause));
     }
 
-    /** Sends a response, with the epoch of the time when it is sent. */
     private <T> void respond(CompletableFuture<T> result, Supplier<CompletableFuture<T>> outcome) {
       if (entry.fault == Fault.SILENT || entry.fault == Fault.CUT_OFF) {
         return;
       }
-      long stated = plan.statesEpoch() ? epoch : LogPosition.UNSTATED_EPOCH;
       // Responses overtake each other: some are on their way for long.
-      long delay = random.nextInt(20) == 0 ? 200 : CALL;
+      respondIn(random.nextInt(20) == 0 ? 200 : CALL, result, outcome);
+    }
+
+    /** Sends a response, with the epoch of the time when it is sent. */
+    private <T> void respondIn(
+        long delay, CompletableFuture<T> result, Supplier<CompletableFuture<T>> outcome) {
+      if (entry.fault == Fault.SILENT || entry.fault == Fault.CUT_OFF) {
+        return;
+      }
+      long stated = plan.statesEpoch() ? epoch : LogPosition.UNSTATED_EPOCH;
       at(
           delay,
           entry,
@@ -891,20 +903,18 @@
     return byKey;
   }
 
-  private RecordBatch snapshot(String topic, long asOf) {
+  private RecordPage page(String topic, String after, long asOf, int maximum) {
     List<Stored> all = records(topic);
     int end = (int) all.stream().filter(stored -> stored.writtenAt() <= asOf).count();
-    Map<String, Integer> lastOffsets = new HashMap<>();
+    Map<String, Integer> lastOffsets = new TreeMap<>();
     IntStream.range(0, end).forEach(offset -> lastOffsets.put(all.get(offset).key(), offset));
-    return new RecordBatch(
-        0,
-        position(end),
-        true,
+    List<KeyedRecord> left =
         lastOffsets.values().stream()
-            .sorted()
             .map(offset -> record(topic, offset))
-            .filter(record -> !record.isTombstone())
-            .toList());
+            .filter(record -> !record.isTombstone() && record.key().compareTo(after) > 0)
+            .toList();
+    return new RecordPage(
+        left.stream().limit(maximum).toList(), position(end), left.size() > maximum);
   }
 
   private void append(String topic, String key, String value) {
--- a/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
+++ b/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
@@ -10,6 +10,7 @@
 import dev.ibishub.gateway.records.KeyedRecord;
 import dev.ibishub.gateway.records.RecordBatch;
 import dev.ibishub.gateway.records.RecordMessages;
+import dev.ibishub.gateway.records.RecordPage;
 import dev.ibishub.platform.StoreClient;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.Frame;
@@ -32,9 +33,9 @@
   /** A store with the records written so far. */
   private final class WrittenRecords implements KeyedLog {
     @Override
-    public CompletableFuture<RecordBatch> newest(String topic) {
+    public CompletableFuture<RecordPage> newestPage(String topic, String after) {
       return read(topic, 0, 0)
-          .thenApply(batch -> new RecordBatch(0, batch.end(), true, batch.records()));
+          .thenApply(batch -> new RecordPage(batch.records(), batch.end(), false));
     }
 
     @Override
