Test the deadline during a crash check; word the comments on what a caller has

BrokenResponseTest#deadlineDuringCrashCheckEndsRequest: the retry that the check held back isn't sent after the deadline's response. It passed at once; the path was untried.

--- a/core/src/main/java/dev/ibishub/core/serving/DeliveredResponse.java
+++ b/core/src/main/java/dev/ibishub/core/serving/DeliveredResponse.java
@@ -24,7 +24,7 @@
   public enum Extent {
     /** Nothing, so any response may follow. */
     NOTHING,
-    /** The begin of a stream of events, with whole events so far, the last of which has an id. */
+    /** The start of a stream of events, and whole events of it, the last of which has an id. */
     EVENTS,
     /** A part with no position to resume at: of a body, or events up to one without an id. */
     PART
@@ -36,7 +36,7 @@
     NEXT,
     /** The caller has it already. */
     REPEATED,
-    /** It doesn't follow: events between are missing, or can't be told to be. */
+    /** It doesn't follow, or nothing says that it does. */
     GAP
   }
 
@@ -66,7 +66,7 @@
     return extent == Extent.NOTHING ? new DeliveredResponse(Extent.EVENTS, lastEventId) : this;
   }
 
-  /** Returns the state after bytes that no position to resume at follows. */
+  /** Returns the state after bytes that leave no position to resume at. */
   public DeliveredResponse withPart() {
     return new DeliveredResponse(Extent.PART, lastEventId);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -70,6 +70,7 @@
     /** Called with a piece of a body that is no event stream. */
     void onPiece(byte[] bytes);
 
+    /** Called with a whole event of a stream, in order and once. */
     void onEvent(EventSplitter.Event event);
 
     void onEnd();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
@@ -35,6 +35,10 @@
 
   private static final int WHOLE_BYTES = 400_000;
   private static final int LONGER_THAN_RETRY_DELAY_MILLIS = 600;
+
+  /** Less than the entry waits for a connection to a target whose queue is full. */
+  private static final int LESS_THAN_CRASH_CHECK_MILLIS = 60;
+
   private static final String SIGNED = "HTTP/1.1 200 OK\r\nsigned: 1\r\n";
   private static final String STREAM = SIGNED + "Content-Type: text/event-stream\r\n\r\n";
   private static final String FIRST = "a".repeat(WHOLE_BYTES);
@@ -75,6 +79,7 @@
                 1,
                 List.of(
                     route("/any/", RequestKind.IDEMPOTENT),
+                    route("/short/", RequestKind.IDEMPOTENT, LESS_THAN_CRASH_CHECK_MILLIS),
                     route("/stream/", RequestKind.RESUMABLE_STREAM),
                     route("/unrepeatable/", RequestKind.STREAM)),
                 Map.of(),
@@ -295,6 +300,27 @@
     }
   }
 
+  // Guards against a second response after the deadline's, from the retry that the check whether
+  // the first target crashed had held back.
+  @Test
+  void deadlineDuringCrashCheckEndsRequest() throws IOException {
+    try (ServerSocket busy = entry.announce("b", 1)) {
+      entry.targets().onDropped("t", 0, MonotonicClock.millis());
+      try (RawCaller caller = call("/short/x");
+          Socket first = accept(busy);
+          ServerSocket other = entry.announce("u");
+          Socket inQueue = new Socket(TestEntry.LOOPBACK, busy.getLocalPort());
+          Socket alsoInQueue = new Socket(TestEntry.LOOPBACK, busy.getLocalPort())) {
+        first.close();
+
+        assertThat(caller.await().head()).startsWith("HTTP/1.1 504 ");
+        assertThat(caller.await().isComplete()).isTrue();
+        assertThat(inQueue.isConnected() && alsoInQueue.isConnected()).isTrue();
+        assertThat(hasRequestWithin(other, LONGER_THAN_RETRY_DELAY_MILLIS)).isFalse();
+      }
+    }
+  }
+
   // Guards against a second attempt's response behind the part of the one that began first.
   @Test
   void hedgedResponseThatBreaksOffIsNotJoinedWithTheOther()
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
@@ -89,12 +89,16 @@
 
   /** Returns a route to the only service; its requests may run on two targets if repeatable. */
   static Route route(String prefix, RequestKind kind) {
+    return route(prefix, kind, TIMEOUT_MILLIS);
+  }
+
+  static Route route(String prefix, RequestKind kind, int timeoutMillis) {
     return new Route(
         prefix,
         "h",
         prefix,
         kind,
-        TIMEOUT_MILLIS,
+        timeoutMillis,
         AIM_MILLIS,
         0,
         0,
