Count the messages and the work of the evidence on crashes

Metrics could not tell whether links, contradictions, the work of one message or log lines hold the event loops of entries. They now count messages, items and bytes by cause, and time each merge. No logic changes.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.serving.crashes.RequestTrait;
 import dev.ibishub.core.serving.crashes.RequestTraits;
 import dev.ibishub.core.serving.crashes.SendPermission;
+import dev.ibishub.gateway.front.CrashMetrics.Cause;
 import dev.ibishub.runtime.IndependentSteps;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
@@ -22,7 +23,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -65,7 +65,7 @@
   private final RequestQuarantine quarantine = new RequestQuarantine();
   private final Consumer<Frame> broadcast;
   private final BooleanSupplier leads;
-  private final Counter events;
+  private final CrashMetrics metrics;
   private volatile long findingsDueAt = Long.MIN_VALUE;
   private volatile long expiryDueAt;
 
@@ -90,12 +90,7 @@
       Consumer<Frame> broadcast, BooleanSupplier leads, PrometheusRegistry registry) {
     this.broadcast = broadcast;
     this.leads = leads;
-    this.events =
-        Counter.builder()
-            .name("ibishub_crash_events_total")
-            .help("Findings on requests that crash targets, own and reported ones, by event.")
-            .labelNames("event")
-            .register(registry);
+    this.metrics = new CrashMetrics(registry);
   }
 
   /**
@@ -246,8 +241,16 @@
    */
   public boolean onReport(CrashReport report) {
     findingsDueAt = Long.MIN_VALUE;
+    long startedAt = System.nanoTime();
+    CrashFindings news = merge(report);
+    metrics.onMerged(System.nanoTime() - startedAt);
+    return !news.isEmpty();
+  }
+
+  private CrashFindings merge(CrashReport report) {
     long now = MonotonicClock.millis();
     CrashFindings reported = CrashMessages.findings(report, now);
+    metrics.onMessage(Cause.RECEIVED, reported, report.getSerializedSize());
     CrashFindings news = quarantine.onReport(reported);
     log(news, "crash.told");
     CrashFindings own =
@@ -259,9 +262,9 @@
                 .filter(each -> !reported.quarantines().contains(each))
                 .toList());
     if (!own.isEmpty()) {
-      broadcast.accept(CrashMessages.frame(own, now));
+      broadcast(Cause.CONTRADICTED, own, now);
     }
-    return !news.isEmpty();
+    return news;
   }
 
   private static boolean isAmong(CrashedRun run, CrashFindings reported) {
@@ -270,7 +273,16 @@
 
   /** Returns a message with all suspicions, for an entry that has just been linked. */
   public Frame snapshot() {
-    return CrashMessages.frame(quarantine.all(), MonotonicClock.millis());
+    CrashFindings all = quarantine.all();
+    Frame frame = CrashMessages.frame(all, MonotonicClock.millis());
+    metrics.onMessage(Cause.LINKED, all, frame);
+    return frame;
+  }
+
+  private void broadcast(Cause cause, CrashFindings findings, long now) {
+    Frame frame = CrashMessages.frame(findings, now);
+    metrics.onMessage(cause, findings, frame);
+    broadcast.accept(frame);
   }
 
   private void publish(CrashFindings findings) {
@@ -279,7 +291,7 @@
           "report of crashes",
           List.of(
               () -> log(findings, "crash.suspected"),
-              () -> broadcast.accept(CrashMessages.frame(findings, MonotonicClock.millis()))));
+              () -> broadcast(Cause.FOUND, findings, MonotonicClock.millis())));
     }
   }
 
@@ -287,10 +299,7 @@
     findings.runs().forEach(run -> logRun(runEvent, run));
     findings.cleared().forEach(CrashDetector::logCleared);
     findings.quarantines().forEach(CrashDetector::logQuarantine);
-    events.labelValues("suspected").inc(findings.runs().size());
-    events.labelValues("cleared").inc(findings.cleared().size());
-    events.labelValues("probed").inc(findings.probes().size());
-    events.labelValues("quarantined").inc(findings.quarantines().size());
+    metrics.onFindings(findings);
   }
 
   private void logRun(String event, CrashedRun run) {
