--- /dev/null
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -0,0 +1,434 @@
+package dev.ibishub.node;
+
+import dev.ibishub.node.ObservedTarget.Run;
+import dev.ibishub.platform.standins.Deployment;
+import dev.ibishub.platform.standins.StoreStandIn;
+import dev.ibishub.runtime.MonotonicClock;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Entries as real processes, callers of which many leave early, and targets that end under parts of
+ * prompts. Draws all of it from a seed.
+ */
+final class DepartedCallerFleet implements AutoCloseable {
+  /** How long a run may go on, or be sent, after its caller left, milliseconds. */
+  static final long ALLOWED_MILLIS = 500;
+
+  private static final String SERVICE = "pages";
+  private static final int CALL_MILLIS = 10;
+  private static final double LEAVING_SHARE = 0.4;
+  private static final int LEAVING_MILLIS = 2_000;
+  private static final int GUILTY_MILLIS = 166;
+  private static final int TARGET_DOWN_MILLIS = 1_500;
+  private static final int SOUND_PARTS = 200;
+  private static final int PARTS_PER_REQUEST = 5;
+  private static final long SECOND_MILLIS = 1_000;
+  private static final Duration METRICS_TIMEOUT = Duration.ofSeconds(5);
+  private static final Pattern LOOP_LATE =
+      Pattern.compile("\"event\":\"loop.late\",\"late_ms\":\"(\\d+)\"");
+
+  private final Random random;
+  private final Deployment deployment;
+  private final List<String> entries;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final ScheduledExecutorService timers = new ScheduledThreadPoolExecutor(1);
+  private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
+  private final Map<String, ObservedTarget> targets = new ConcurrentHashMap<>();
+  private final Map<String, Departure> departures = new ConcurrentHashMap<>();
+  private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final Queue<Pause> pauses = new ConcurrentLinkedQueue<>();
+  private final Map<String, URI> metricsPages = new ConcurrentHashMap<>();
+  private final HttpClient metricsClient = HttpClient.newHttpClient();
+  private final Set<String> down = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger numbers = new AtomicInteger();
+  private volatile boolean isGuiltyLoad;
+  private volatile boolean isSoundLoad = true;
+  private volatile Optional<String> guiltyPart = Optional.empty();
+
+  /** When a caller left, and from which entry. */
+  private record Departure(String entry, long at) {}
+
+  /** When an entry stood still. */
+  private record Pause(String entry, long from, long until) {}
+
+  /**
+   * What became of the runs of callers that left within a time.
+   *
+   * @param departed the runs that were under way as their callers left
+   * @param wentOn those that were at work later than is allowed
+   * @param lateSends runs that began later than is allowed
+   * @param worstShare the largest share that went on of those of one second, with four or more
+   */
+  record Verdict(long departed, long wentOn, long lateSends, double worstShare) {}
+
+  /** How often event loops were late, and for how long at most, milliseconds. */
+  record LoopDelays(long count, long longest) {}
+
+  DepartedCallerFleet(long seed, int entryCount, int targetCount)
+      throws IOException, InterruptedException {
+    random = new Random(seed);
+    deployment = new Deployment(Deployment.Programs.onThisClassPath(NodeMain.class.getName()));
+    deployment.store().setPageRecords(targetCount);
+    deployment.publish(1, SERVICE, "key-1");
+    entries = IntStream.rangeClosed(1, entryCount).mapToObj(number -> "entry-" + number).toList();
+    for (int target = 0; target < targetCount; target++) {
+      startTarget(0);
+    }
+    for (String entry : entries) {
+      startEntry(entry);
+    }
+    deployment.endFirstStart();
+    deployment.await("all entries listed", () -> entries.stream().allMatch(this::isListed));
+  }
+
+  private void startEntry(String entry) throws IOException {
+    int number = entries.indexOf(entry) + 1;
+    String host = "127.0.1." + number;
+    int metricsPort = freePort(host);
+    metricsPages.put(entry, URI.create("http://%s:%d/metrics".formatted(host, metricsPort)));
+    deployment.startEntry(entry, host, "127.0.1.1", ",\"metricsPort\":%d".formatted(metricsPort));
+  }
+
+  private static int freePort(String host) throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private boolean isListed(String entry) {
+    try {
+      return deployment.resolve(entries.get(0)).contains(deployment.callerAddress(entry));
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void startTarget(int port) {
+    String id = "t-" + numbers.incrementAndGet();
+    ObservedTarget target =
+        new ObservedTarget(
+            id, port, group, crashingParts, new ObservedTarget.Listener(runs::add, this::onCrash));
+    targets.put(id, target);
+    deployment.store().put("keyed.servers", id, target.announcement(SERVICE));
+  }
+
+  private void onCrash(ObservedTarget ended, boolean silently) {
+    timers.schedule(() -> replace(ended), TARGET_DOWN_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void replace(ObservedTarget ended) {
+    int port = ended.port();
+    ended.close();
+    targets.remove(ended.id());
+    startTarget(port);
+    deployment.store().put("keyed.servers", ended.id(), "");
+  }
+
+  /** Starts the callers. */
+  void startLoad() {
+    timers.scheduleAtFixedRate(this::callSometimes, 0, CALL_MILLIS, TimeUnit.MILLISECONDS);
+    timers.scheduleAtFixedRate(
+        () -> guiltyPart.filter(any -> isGuiltyLoad).ifPresent(this::callWithPart),
+        0,
+        GUILTY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void callSometimes() {
+    if (random.nextDouble() < LEAVING_SHARE) {
+      String kind = random.nextBoolean() ? ObservedTarget.MUTE : ObservedTarget.ENDLESS;
+      call(kind, soundParts(), 20 + random.nextInt(LEAVING_MILLIS - 20));
+    } else if (isSoundLoad) {
+      call(ObservedTarget.SHORT, soundParts(), LEAVING_MILLIS);
+    }
+  }
+
+  private synchronized void callWithPart(String part) {
+    call(
+        ObservedTarget.SHORT,
+        Stream.concat(soundParts().stream(), Stream.of(part)).toList(),
+        LEAVING_MILLIS);
+  }
+
+  private List<String> soundParts() {
+    return IntStream.range(0, PARTS_PER_REQUEST)
+        .mapToObj(any -> "50" + random.nextInt(SOUND_PARTS))
+        .toList();
+  }
+
+  private void call(String kind, List<String> parts, long leavesAfterMillis) {
+    List<String> running = entries.stream().filter(entry -> !down.contains(entry)).toList();
+    String entry = running.get(random.nextInt(running.size()));
+    String[] address = deployment.callerAddress(entry).split(":", 2);
+    String id = "c" + numbers.incrementAndGet();
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel connection) {
+                connection.pipeline().addLast(new HttpClientCodec()).addLast(new Answers());
+              }
+            })
+        .connect(address[0], Integer.parseInt(address[1]))
+        .addListener(
+            connected -> {
+              if (connected.isSuccess()) {
+                Channel caller = ((ChannelFuture) connected).channel();
+                caller.writeAndFlush(request(kind, id, parts));
+                caller
+                    .eventLoop()
+                    .schedule(
+                        () -> leave(caller, entry, id), leavesAfterMillis, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  private void leave(Channel caller, String entry, String id) {
+    if (caller.isActive()) {
+      departures.put(id, new Departure(entry, MonotonicClock.millis()));
+      caller.close();
+    }
+  }
+
+  private static FullHttpRequest request(String kind, String id, List<String> parts) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            "/stream/%s/%s".formatted(kind, id),
+            Unpooled.copiedBuffer("body of " + id, StandardCharsets.US_ASCII));
+    request
+        .headers()
+        .set("Host", "h.example")
+        .set("X-Attempt-Id", id)
+        .set("X-Deadline-Ms", "5000")
+        .set("X-Api-Key", "key-1")
+        .set(
+            "X-Prompt-Prefix",
+            Stream.concat(parts.stream(), Stream.of("9" + id.substring(1)))
+                .collect(Collectors.joining(",")));
+    HttpUtil.setContentLength(request, request.content().readableBytes());
+    return request;
+  }
+
+  /** Closes a caller's connection once its answer is complete. */
+  private static final class Answers extends SimpleChannelInboundHandler<HttpObject> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+      if (message instanceof LastHttpContent) {
+        context.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+
+  /** Sends requests with a part that ends targets for a time, one such part after the other. */
+  void playGuilty(int parts, boolean silently, long millisPerPart) throws InterruptedException {
+    isGuiltyLoad = true;
+    for (int part = 0; part < parts; part++) {
+      String id = (silently && part % 2 == 1 ? "da" : "bad") + numbers.incrementAndGet();
+      crashingParts.add(id);
+      guiltyPart = Optional.of(id);
+      Thread.sleep(millisPerPart);
+    }
+    isGuiltyLoad = false;
+  }
+
+  /** Lets only callers call that leave early. */
+  void stopSoundLoad() {
+    isSoundLoad = false;
+  }
+
+  StoreStandIn store() {
+    return deployment.store();
+  }
+
+  /** Kills drawn entries and starts them again at once, at other ports. */
+  void restartEntries(int count) throws IOException, InterruptedException {
+    List<String> killed = drawnEntries(count);
+    down.addAll(killed);
+    for (String entry : killed) {
+      deployment.process(entry).destroyForcibly().waitFor();
+    }
+    for (String entry : killed) {
+      startEntry(entry);
+    }
+    for (String entry : killed) {
+      deployment.await(entry + " ready", () -> deployment.readiness(entry) == 200);
+      down.remove(entry);
+    }
+  }
+
+  /** Stops drawn entries for a time. */
+  void pauseEntries(int count, long millis) throws IOException, InterruptedException {
+    long from = MonotonicClock.millis();
+    List<String> paused = drawnEntries(count);
+    for (String entry : paused) {
+      deployment.pause(entry);
+    }
+    Thread.sleep(millis);
+    for (String entry : paused) {
+      deployment.resume(entry);
+      pauses.add(new Pause(entry, from, MonotonicClock.millis()));
+    }
+  }
+
+  private synchronized List<String> drawnEntries(int count) {
+    List<String> drawn = new ArrayList<>(entries);
+    Collections.shuffle(drawn, random);
+    return drawn.subList(0, count);
+  }
+
+  /** Judges the runs of callers that left since a time; those that are under way don't count. */
+  Verdict verdict(long since) {
+    List<Run> departed =
+        runs.stream()
+            .filter(run -> departures.containsKey(run.id()) && noticeableAt(run) >= since)
+            .filter(run -> run.endedAt() >= departures.get(run.id()).at())
+            .toList();
+    List<Run> wentOn = departed.stream().filter(run -> isLate(run.endedAt(), run)).toList();
+    Map<Long, List<Run>> bySecond =
+        departed.stream()
+            .collect(
+                Collectors.groupingBy(
+                    run -> noticeableAt(run) / SECOND_MILLIS, TreeMap::new, Collectors.toList()));
+    double worstShare =
+        bySecond.values().stream()
+            .filter(ofSecond -> ofSecond.size() >= 4)
+            .mapToDouble(
+                ofSecond ->
+                    (double) ofSecond.stream().filter(wentOn::contains).count() / ofSecond.size())
+            .max()
+            .orElse(0);
+    long lateSends = departed.stream().filter(run -> isLate(run.startedAt(), run)).count();
+    return new Verdict(departed.size(), wentOn.size(), lateSends, worstShare);
+  }
+
+  private boolean isLate(long at, Run run) {
+    return at - noticeableAt(run) > ALLOWED_MILLIS;
+  }
+
+  /** Returns when a caller left, or when its entry went on after a pause. */
+  private long noticeableAt(Run run) {
+    Departure departure = departures.get(run.id());
+    return pauses.stream()
+        .filter(pause -> pause.entry().equals(departure.entry()))
+        .filter(pause -> departure.at() >= pause.from() && departure.at() < pause.until())
+        .mapToLong(Pause::until)
+        .max()
+        .orElse(departure.at());
+  }
+
+  /** Returns how late event loops were so far, by the logs of the entries. */
+  LoopDelays loopDelays() throws IOException {
+    List<Long> delays = new ArrayList<>();
+    for (String entry : entries) {
+      Matcher late = LOOP_LATE.matcher(deployment.logOf(entry));
+      while (late.find()) {
+        delays.add(Long.parseLong(late.group(1)));
+      }
+    }
+    return new LoopDelays(
+        delays.size(), delays.stream().mapToLong(Long::longValue).max().orElse(0));
+  }
+
+  /** Returns how many lines of each event the entries have logged. */
+  Map<String, Long> logLines() throws IOException {
+    Pattern event = Pattern.compile("\"event\":\"([a-z_.]+)\"");
+    Map<String, Long> counts = new TreeMap<>();
+    for (String entry : entries) {
+      Matcher line = event.matcher(deployment.logOf(entry));
+      while (line.find()) {
+        counts.merge(line.group(1), 1L, Long::sum);
+      }
+    }
+    return counts;
+  }
+
+  /** Returns the sums over all entries of the metrics on the exchange of evidence. */
+  Map<String, Double> crashMetrics() throws InterruptedException {
+    Map<String, Double> sums = new TreeMap<>();
+    for (URI page : metricsPages.values()) {
+      try {
+        metricsClient
+            .send(
+                HttpRequest.newBuilder(page).timeout(METRICS_TIMEOUT).build(),
+                HttpResponse.BodyHandlers.ofString())
+            .body()
+            .lines()
+            .filter(line -> line.startsWith("ibishub_crash_"))
+            .map(line -> line.split(" ", 2))
+            .forEach(line -> sums.merge(line[0], Double.parseDouble(line[1]), Double::sum));
+      } catch (IOException e) {
+        sums.merge("unreadable", 1.0, Double::sum);
+      }
+    }
+    return sums;
+  }
+
+  @Override
+  public void close() {
+    timers.shutdownNow();
+    deployment.close();
+    targets.values().forEach(ObservedTarget::close);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
