Tell on only what a report on crashes changed

What callers saw: nothing, they had left; targets went on with their requests as the entries' event loops were held by evidence on crashes.

Cause: RequestQuarantine.onReport returned what contradicts a report beside what the report changed. CrashDetector broadcast the contradictions, and PeerMesh took them for news and forwarded the report, too. So a report that changes nothing was forwarded and contradicted again at each entry that it reached, and among entries that are no relays of each other, as after restarts or while links are lost, it went round for ever.

Why it works: contradictions are a query of their own and go to the entry that reported, which tells the others only if they changed what it knows. An entry forwards what it took for news, not the message as it came, so a part that a relay knows to be answered is not suspected behind it. Each change happens once an entry, so each exchange ends.

The test of contradictions asks the new query, as strictly as before.

--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
@@ -144,6 +144,15 @@
     }
 
     private void send(Entry other, CrashFindings findings) {
+      send(other, findings, false);
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param isDirect whether the receiver has to tell the others what of it is news
+     */
+    private void send(Entry other, CrashFindings findings, boolean isDirect) {
       messages++;
       int of = other.incarnation;
       boolean isLate = scenario.trouble() == Trouble.LATE_REPORTS && random.nextInt(4) == 0;
@@ -154,8 +163,12 @@
           () -> {
             if (other.incarnation == of && other.isUp) {
               CrashFindings received = redated(findings, arrival);
+              CrashFindings contradictions = other.policy.contradictions(received);
+              if (!contradictions.isEmpty()) {
+                other.send(this, contradictions, true);
+              }
               CrashFindings news = other.policy.onReport(received);
-              other.broadcast(withoutReported(news, received));
+              other.broadcast(isDirect ? news : withoutReported(news, received));
             }
           });
     }
--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
@@ -37,6 +37,9 @@
 
   CrashFindings onAnswerBegun(String service, Set<RequestTrait> parts, long now);
 
+  /** Returns what to tell the entry that reported, and it alone. */
+  CrashFindings contradictions(CrashFindings report);
+
   CrashFindings onReport(CrashFindings report);
 
   /** Judges by the evidence so far. */
@@ -122,6 +125,11 @@
       return quarantine.onAnswerBegun(service, parts, now);
     }
 
+    @Override
+    public CrashFindings contradictions(CrashFindings report) {
+      return quarantine.contradictions(report);
+    }
+
     @Override
     public CrashFindings onReport(CrashFindings report) {
       return quarantine.onReport(report);
@@ -209,6 +217,11 @@
       return new CrashFindings(List.of(), cleared, List.of(), List.of());
     }
 
+    @Override
+    public CrashFindings contradictions(CrashFindings report) {
+      return CrashFindings.NONE;
+    }
+
     @Override
     public CrashFindings onReport(CrashFindings report) {
       onCrash(report.runs());
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -110,21 +110,30 @@
   }
 
   /**
-   * Merges what another entry found.
-   *
-   * @return what of it was news, so that other entries may not have it yet, and what this entry
-   *     knows that contradicts it or follows from it
+   * Returns what this entry knows to be different from another entry's report: traits that were
+   * answered since. To be told to that entry alone, as it comes again with each such report.
    */
-  public synchronized CrashFindings onReport(CrashFindings report) {
+  public synchronized CrashFindings contradictions(CrashFindings report) {
     List<Clearing> cleared =
-        report.cleared().stream().filter(each -> clear(each.trait(), each.at())).toList();
-    List<Clearing> contradicted =
         Stream.concat(
                 report.runs().stream().flatMap(run -> answeredParts(run.request(), run.sentAt())),
                 report.quarantines().stream()
                     .flatMap(each -> answered(each.traits(), each.firstSentAt())))
             .distinct()
             .toList();
+    return CrashFindings.of(List.of(), cleared, List.of());
+  }
+
+  /**
+   * Merges what another entry found.
+   *
+   * @return what changed by it: what of it was news, so that other entries may not have it yet, and
+   *     what follows from it. A report that changes nothing must not be told on, or it would go
+   *     round for ever.
+   */
+  public synchronized CrashFindings onReport(CrashFindings report) {
+    List<Clearing> cleared =
+        report.cleared().stream().filter(each -> clear(each.trait(), each.at())).toList();
     CrashFindings found = addAll(report.runs());
     List<CrashedRun> ownRuns =
         report.runs().stream()
@@ -137,7 +146,7 @@
     probes.forEach(probe -> probedUntil.put(probe.trait(), probe.until()));
     return new CrashFindings(
         concat(found.runs(), own.runs()),
-        concat(cleared, contradicted),
+        cleared,
         probes,
         concat(concat(found.quarantines(), own.quarantines()), merged));
   }
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -282,7 +282,7 @@
     answer(2_000, "part");
     CrashedRun run = new CrashedRun(withParts("w", "1", "part"), "t", 1_900, 2_100);
 
-    assertThat(quarantine.onReport(report(run)).cleared())
+    assertThat(quarantine.contradictions(report(run)).cleared())
         .extracting(CrashFindings.Clearing::trait)
         .containsExactly(RequestTrait.ofPart("s", "part"));
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -11,6 +11,7 @@
 import dev.ibishub.core.serving.crashes.RequestTraits;
 import dev.ibishub.core.serving.crashes.SendPermission;
 import dev.ibishub.gateway.front.CrashMetrics.Cause;
+import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.runtime.IndependentSteps;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
@@ -234,37 +235,46 @@
     publish(quarantine.onCrashed(targetIncarnation));
   }
 
-  /**
-   * Merges a report of another entry.
-   *
-   * @return whether any of it was new, so that other entries may not have it yet
-   */
-  public boolean onReport(CrashReport report) {
+  /** Merges a report of another entry. */
+  public void onReport(CrashReport report, PeerMesh.Sender sender) {
     findingsDueAt = Long.MIN_VALUE;
     long startedAt = System.nanoTime();
-    CrashFindings news = merge(report);
-    metrics.onMerged(System.nanoTime() - startedAt);
-    return !news.isEmpty();
-  }
-
-  private CrashFindings merge(CrashReport report) {
     long now = MonotonicClock.millis();
     CrashFindings reported = CrashMessages.findings(report, now);
     metrics.onMessage(Cause.RECEIVED, reported, report.getSerializedSize());
+    contradict(reported, sender, now);
     CrashFindings news = quarantine.onReport(reported);
     log(news, "crash.told");
-    CrashFindings own =
-        new CrashFindings(
-            news.runs().stream().filter(run -> !isAmong(run, reported)).toList(),
-            news.cleared().stream().filter(each -> !reported.cleared().contains(each)).toList(),
-            List.of(),
-            news.quarantines().stream()
-                .filter(each -> !reported.quarantines().contains(each))
-                .toList());
+    CrashFindings own = withoutReported(news, reported);
     if (!own.isEmpty()) {
-      broadcast(Cause.CONTRADICTED, own, now);
+      broadcast(Cause.FOUND, own, now);
     }
-    return news;
+    CrashFindings told = withoutReported(news, own);
+    if (!told.isEmpty()) {
+      sender.forward().accept(CrashMessages.frame(told, now));
+    }
+    metrics.onMerged(System.nanoTime() - startedAt);
+  }
+
+  private void contradict(CrashFindings reported, PeerMesh.Sender sender, long now) {
+    CrashFindings contradictions = quarantine.contradictions(reported);
+    if (!contradictions.isEmpty()) {
+      Frame frame = CrashMessages.directFrame(contradictions, now);
+      metrics.onMessage(Cause.CONTRADICTED, contradictions, frame);
+      sender.reply().accept(frame);
+    }
+  }
+
+  private static CrashFindings withoutReported(CrashFindings news, CrashFindings reported) {
+    return new CrashFindings(
+        news.runs().stream().filter(run -> !isAmong(run, reported)).toList(),
+        without(news.cleared(), reported.cleared()),
+        without(news.probes(), reported.probes()),
+        without(news.quarantines(), reported.quarantines()));
+  }
+
+  private static <T> List<T> without(List<T> all, List<T> excluded) {
+    return all.stream().filter(each -> !excluded.contains(each)).toList();
   }
 
   private static boolean isAmong(CrashedRun run, CrashFindings reported) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
@@ -32,6 +32,19 @@
    * @param now the sender's time, milliseconds
    */
   static Frame frame(CrashFindings findings, long now) {
+    return Frame.newBuilder().setCrashReport(report(findings, now)).build();
+  }
+
+  /**
+   * Returns a message that reports findings to one entry only, which tells the others.
+   *
+   * @param now the sender's time, milliseconds
+   */
+  static Frame directFrame(CrashFindings findings, long now) {
+    return Frame.newBuilder().setCrashReport(report(findings, now).setDirect(true)).build();
+  }
+
+  private static CrashReport.Builder report(CrashFindings findings, long now) {
     CrashReport.Builder report = CrashReport.newBuilder();
     findings.runs().forEach(run -> report.addRuns(message(run, now)));
     findings.cleared().stream()
@@ -54,7 +67,7 @@
                         .setPart(message(each.trait()))
                         .setLeftMillis(Math.max(0, each.until() - now))));
     findings.quarantines().forEach(each -> report.addQuarantines(message(each, now)));
-    return Frame.newBuilder().setCrashReport(report).build();
+    return report;
   }
 
   private static BrokenRun message(CrashedRun run, long now) {
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -26,6 +26,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -135,8 +136,8 @@
    *
    * @param onProgress takes records of the platform that another entry passed on, and that entry's
    *     process id; returns whether any were news
-   * @param onCrashes takes another entry's findings on requests that crash targets; returns whether
-   *     any were news
+   * @param onCrashes takes another entry's findings on requests that crash targets, and what to do
+   *     with what follows from them
    * @param onLimits takes the request limits that targets stated to another entry; returns whether
    *     any were news
    * @param onLoads takes the loads of targets that another entry collected
@@ -146,12 +147,20 @@
    */
   public record Listener(
       BiPredicate<RecordProgress, String> onProgress,
-      Predicate<CrashReport> onCrashes,
+      BiConsumer<CrashReport, Sender> onCrashes,
       Predicate<LimitReport> onLimits,
       Consumer<LoadReports> onLoads,
       Consumer<ReadTurn> onTurn,
       Predicate<LogEpoch> onEpoch) {}
 
+  /**
+   * The entry that a message came from.
+   *
+   * @param reply sends a message to that entry alone
+   * @param forward sends a message to the entries that it may not have told
+   */
+  public record Sender(Consumer<Frame> reply, Consumer<Frame> forward) {}
+
   /** What is known of the entry at the other end of a link, and what was sent to it. */
   private static final class PeerState {
     private String host = "";
@@ -379,8 +388,7 @@
               link,
               frame,
               listener.onProgress().test(frame.getRecordProgress(), link.peer().processId()));
-      case CRASH_REPORT ->
-          forwardIfNews(link, frame, listener.onCrashes().test(frame.getCrashReport()));
+      case CRASH_REPORT -> listener.onCrashes().accept(frame.getCrashReport(), sender(link, frame));
       case LIMIT_REPORT ->
           forwardIfNews(link, frame, listener.onLimits().test(frame.getLimitReport()));
       case LOG_EPOCH -> forwardIfNews(link, frame, listener.onEpoch().test(frame.getLogEpoch()));
@@ -420,14 +428,27 @@
    * entries, so they have the message already.
    */
   private void forwardIfNews(Link from, Frame frame, boolean isNews) {
-    if (!isNews) {
-      return;
+    if (isNews) {
+      forward(from, frame, false);
     }
+  }
+
+  private Sender sender(Link link, Frame received) {
+    boolean isDirect = received.getCrashReport().getDirect();
+    return new Sender(link::offer, news -> forward(link, news, isDirect));
+  }
+
+  /**
+   * Forwards a message to all linked entries but one.
+   *
+   * @param isDirect whether the message that it follows from went to this entry alone
+   */
+  private void forward(Link from, Frame frame, boolean isDirect) {
     List<Link> others;
     synchronized (this) {
       boolean isLinkedToAll =
           !links.containsKey(from) || hostsToLink.contains(links.get(from).host);
-      others = isLinkedToAll ? List.of() : openLinks();
+      others = isLinkedToAll && !isDirect ? List.of() : openLinks();
     }
     others.stream().filter(link -> !link.equals(from)).forEach(link -> link.offer(frame));
   }
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -0,0 +1,77 @@
+package dev.ibishub.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.entries.EntryRoster;
+import dev.ibishub.runtime.MonotonicClock;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Evidence on crashes between entries: who learns what, and how many messages that takes. */
+final class CrashExchangeTest {
+  private static final int REPORTS = 10;
+  private static final int MOST = 50_000;
+  private static final List<String> PARTS = List.of("p1", "p2", "p3");
+
+  /** Messages over one link that a report may take: to it, on from it, and what contradicts. */
+  private static final int MESSAGES_PER_LINK = 4;
+
+  private static List<Integer> numbers(int from, int until) {
+    return IntStream.range(from, until).boxed().toList();
+  }
+
+  // Guards against evidence that goes round for ever among entries that are no relays of each other
+  // and each contradict it.
+  @Test
+  void contradictedReportDoesNotGoRound() {
+    List<List<Integer>> furtherLinks = List.of(List.of(5, 6), List.of(6, 7), List.of(7, 5));
+    try (CrashExchangeModel model = new CrashExchangeModel(8, furtherLinks)) {
+      long now = MonotonicClock.millis();
+      model.answer(List.of(0, 1, 2, 3, 4, 6, 7), Set.copyOf(PARTS), now);
+      model.crash(5, "t", 1, PARTS, now - 1);
+
+      assertThat(model.deliverAll(MOST)).as("%d messages", model.messages()).isTrue();
+      assertThat(model.suspecting("p1")).isEmpty();
+    }
+  }
+
+  // Guards against traffic that grows with the square of the entries, as each contradicts to all.
+  @ParameterizedTest
+  @ValueSource(ints = {8, 41, 370})
+  void messagesOfReportGrowWithEntries(int count) {
+    try (CrashExchangeModel model = new CrashExchangeModel(count, List.of())) {
+      long now = MonotonicClock.millis();
+      model.answer(numbers(0, count - 1), Set.copyOf(PARTS), now);
+      IntStream.range(0, REPORTS)
+          .forEach(report -> model.crash(count - 1, "t" + report, 1, PARTS, now - 1));
+
+      assertThat(model.deliverAll(Integer.MAX_VALUE)).isTrue();
+      long links = (long) count * EntryRoster.RELAY_COUNT;
+      System.out.printf(
+          "%d entries: %.1f messages and %d bytes a report%n",
+          count, model.messages() / (double) REPORTS, model.bytes() / REPORTS);
+      assertThat(model.messages()).isLessThanOrEqualTo(REPORTS * MESSAGES_PER_LINK * links);
+      assertThat(model.suspecting("p1")).isEmpty();
+    }
+  }
+
+  // Guards against a part that some entries go on suspecting, as only one that is no relay knows of
+  // its answer.
+  @ParameterizedTest
+  @ValueSource(ints = {0, 3, 4, 5, 11})
+  void answerKnownToOneEntryClearsPartEverywhere(int answering) {
+    try (CrashExchangeModel model = new CrashExchangeModel(12, List.of())) {
+      long now = MonotonicClock.millis();
+      model.answer(List.of(answering), Set.of("p1"), now);
+      model.crash(10, "t", 1, PARTS, now - 1);
+      model.deliverAll(MOST);
+
+      assertThat(model.suspecting("p1")).isEmpty();
+      assertThat(model.suspecting("p2")).isEqualTo(numbers(0, 12));
+    }
+  }
+}
--- a/gateway/src/test/java/dev/ibishub/gateway/front/DepartedCallerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/DepartedCallerTest.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.serving.crashes.CrashedRun;
 import dev.ibishub.core.serving.crashes.RequestIdentity;
 import dev.ibishub.core.serving.crashes.RequestTraits;
+import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.runtime.MonotonicClock;
 import java.io.IOException;
@@ -320,7 +321,9 @@
       long now = MonotonicClock.millis();
       entry
           .crashes()
-          .onReport(CrashMessages.frame(crashesWithManySuspects(now), now).getCrashReport());
+          .onReport(
+              CrashMessages.frame(crashesWithManySuspects(now), now).getCrashReport(),
+              new PeerMesh.Sender(reply -> {}, forwarded -> {}));
       IntStream.range(0, 20).forEach(any -> entry.crashes().onAnswerBegun("s", Set.of(), now));
       Socket other = send(STREAM_REQUEST);
       caller.close();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
@@ -6,6 +6,7 @@
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.ServingConfiguration;
@@ -86,12 +87,19 @@
               other ->
                   group.schedule(
                       () -> {
-                        other.crashes.onReport(frame.getCrashReport());
+                        other.onFrame(this, frame);
                       },
                       LINK_MILLIS,
                       TimeUnit.MILLISECONDS));
     }
 
+    private void onFrame(Entry sender, Frame frame) {
+      crashes.onReport(
+          frame.getCrashReport(),
+          new PeerMesh.Sender(
+              reply -> group.execute(() -> sender.onFrame(this, reply)), forwarded -> {}));
+    }
+
     private RequestContext context() {
       StopPlan stop = new NeverStops();
       return new RequestContext(
@@ -127,10 +135,7 @@
   /** Starts one more entry, which gets the findings of the others before it serves. */
   void addEntry() throws IOException {
     Entry added = new Entry();
-    entries.stream()
-        .findFirst()
-        .map(first -> first.crashes.snapshot())
-        .ifPresent(frame -> added.crashes.onReport(frame.getCrashReport()));
+    entries.stream().findFirst().ifPresent(first -> added.onFrame(first, first.crashes.snapshot()));
     entries.add(added);
   }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -45,7 +45,7 @@
         List::of,
         new PeerMesh.Listener(
             (progress, sender) -> false,
-            crashes -> false,
+            (crashes, sender) -> {},
             limits -> false,
             loads -> {},
             turn -> {},
