Forward what the fifth entry reports

What callers saw: entries that know nothing of a target's limit, a crash or a record that the fifth entry in order has found or read.

Cause: an entry doesn't forward what comes from a relay, as all entries are linked to a relay. It took all entries that it links to itself for relays. A relay links to the four others that come first in order, so each of the four took the fifth entry for a relay, and no one forwarded its messages.

Evidence: CrashExchangeTest.findingOfEachEntryReachesAll, red before: of 12 entries the findings of number 5 reached only four.

Why it works: the relays are the first four in order, the entry itself included, so each entry agrees on them as far as it knows the same entries. If they differ, a message that is news is forwarded once too often. The same path carries limits, records and the store's epoch.

--- a/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
+++ b/core/src/main/java/dev/ibishub/core/entries/EntryRoster.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -175,6 +176,18 @@
     return wanted.stream().map(known -> known.host).toList();
   }
 
+  /**
+   * Returns the first {@link #RELAY_COUNT} hosts in order, this one included, to which all entries
+   * link. A relay also links to the next entry in order, to which the others don't.
+   */
+  public Set<String> hostsLinkedByAll() {
+    return Stream.concat(byHost.values().stream(), Stream.of(own()))
+        .sorted(ORDER)
+        .limit(RELAY_COUNT)
+        .map(known -> known.host)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Whether a wanted link is still within its timeout and has not brought a heartbeat. */
   public boolean isAnyPending(long now) {
     return byHost.values().stream()
@@ -204,8 +217,7 @@
    * Returns this entry's position in order, from 0, among the live entries that are not leaving.
    */
   public int position(long now) {
-    Known own = new Known(ownHost);
-    own.facts = Optional.of(new EntryFacts(ownHost, "", ownStartedAt, true, false));
+    Known own = own();
     return (int)
         living(now)
             .filter(known -> !known.facts.orElseThrow().isLeaving())
@@ -240,6 +252,12 @@
     return heard;
   }
 
+  private Known own() {
+    Known own = new Known(ownHost);
+    own.facts = Optional.of(new EntryFacts(ownHost, "", ownStartedAt, true, false));
+    return own;
+  }
+
   private Stream<Known> living(long now) {
     return byHost.values().stream().filter(known -> isAlive(known, now));
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -99,6 +99,7 @@
   private final Map<String, ConnectState> connectStates = new HashMap<>();
   private RosterSnapshot directRoster = RosterSnapshot.EMPTY;
   private Set<String> hostsToLink = Set.of();
+  private Set<String> hostsLinkedByAll = Set.of();
   private Set<String> aliveHosts = Set.of();
   private long lastTickAt;
   private long nextHeartbeatAt;
@@ -447,7 +448,7 @@
     List<Link> others;
     synchronized (this) {
       boolean isLinkedToAll =
-          !links.containsKey(from) || hostsToLink.contains(links.get(from).host);
+          !links.containsKey(from) || hostsLinkedByAll.contains(links.get(from).host);
       others = isLinkedToAll && !isDirect ? List.of() : openLinks();
     }
     others.stream().filter(link -> !link.equals(from)).forEach(link -> link.offer(frame));
@@ -455,6 +456,7 @@
 
   private void checkLinks(long now) {
     hostsToLink = new HashSet<>(roster.hostsToLink(now));
+    hostsLinkedByAll = roster.hostsLinkedByAll();
     Set<String> linked =
         links.entrySet().stream()
             .filter(link -> link.getKey().isOpen())
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -6,6 +6,7 @@
 import dev.ibishub.runtime.MonotonicClock;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -74,4 +75,22 @@
       assertThat(model.suspecting("p2")).isEqualTo(numbers(0, 12));
     }
   }
+
+  // Guards against findings that reach only the relays, as those take their sender for one of them.
+  @Test
+  void findingOfEachEntryReachesAll() {
+    Set<Integer> incomplete =
+        numbers(0, 12).stream()
+            .filter(
+                finder -> {
+                  try (CrashExchangeModel model = new CrashExchangeModel(12, List.of())) {
+                    model.crash(finder, "t", 1, PARTS, MonotonicClock.millis());
+                    model.deliverAll(MOST);
+                    return model.suspecting("p1").size() < 12;
+                  }
+                })
+            .collect(Collectors.toSet());
+
+    assertThat(incomplete).isEmpty();
+  }
 }
