Keep cleared suspicions cleared when late reports arrive

What callers saw: nothing; targets went on with requests of callers that had left, as entries took evidence on crashes in all the time.

Cause: a report carries ages, and each entry dates it anew, later by its transit time. A run that was sent before an answer so seemed to be sent after it once it was late, and was suspected again where it was cleared; that was news, which was told on, cleared by others, and told on again. Answers of whole requests were not remembered at all, so that a report that was under way brought their suspicions and quarantines back.

RequestQuarantineTest, 2 new cases red before, green now.

Why it works: a trait of a run is added once, whatever its dates; the last 16,384 such pairs are remembered. Answers of suspected whole requests are remembered like those of parts, and contradicted. So suspicions of one run only end, and an exchange about it does.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
@@ -68,11 +68,21 @@
   /** Maximum number of traits whose last answer is remembered. */
   static final int MAXIMUM_ANSWERED = 8_192;
 
+  /** Maximum number of pairs of a trait and a run that are remembered after they were cleared. */
+  static final int MAXIMUM_SEEN = 16_384;
+
   private static final int MAXIMUM_SERVICES = 1_024;
 
   private final Map<RequestTrait, Suspect> suspects = new BoundedMap<>(MAXIMUM_KEPT);
   private final BoundedMap<RequestTrait, Long> answeredAt = new BoundedMap<>(MAXIMUM_ANSWERED);
   private final Map<String, Long> answersByService = new BoundedMap<>(MAXIMUM_SERVICES);
+
+  /**
+   * Pairs of a trait and a run that were added before. A report may arrive long after its run was
+   * cleared here, dated later by its transit time, and must not bring the suspicion back.
+   */
+  private final BoundedMap<Sighting, Boolean> seen = new BoundedMap<>(MAXIMUM_SEEN);
+
   private final Map<String, Crash> crashes = new BoundedMap<>(MAXIMUM_KEPT);
 
   /**
@@ -83,6 +93,9 @@
    */
   private record Suspect(List<CrashedRun> runs, long answersBefore) {}
 
+  /** A trait of one run, whatever the times of the run are. */
+  private record Sighting(RequestTrait trait, RequestIdentity request, String targetIncarnation) {}
+
   private record Crash(String service, long at) {}
 
   /**
@@ -92,12 +105,7 @@
    *     known
    */
   List<CrashedRun> add(CrashedRun run) {
-    CrashedRun unanswered =
-        new CrashedRun(
-            run.request().withPartsThat(part -> !isAnsweredSince(part, run.sentAt())),
-            run.targetIncarnation(),
-            run.sentAt(),
-            run.brokenAt());
+    CrashedRun unanswered = withoutAnswered(run);
     crashes.putIfAbsent(
         run.targetIncarnation(), new Crash(run.request().service(), run.brokenAt()));
     long added =
@@ -105,14 +113,24 @@
     return added > 0 ? List.of(unanswered) : List.of();
   }
 
+  /** Returns a run without the parts that were answered since it was sent. */
+  CrashedRun withoutAnswered(CrashedRun run) {
+    return new CrashedRun(
+        run.request().withPartsThat(part -> !isAnsweredSince(part, run.sentAt())),
+        run.targetIncarnation(),
+        run.sentAt(),
+        run.brokenAt());
+  }
+
   private boolean addTo(RequestTrait trait, CrashedRun run) {
+    Sighting sighting = new Sighting(trait, run.request().identity(), run.targetIncarnation());
+    if (isAnsweredSince(trait, run.sentAt()) || seen.put(sighting, true) != null) {
+      return false;
+    }
     Suspect suspect =
         suspects.computeIfAbsent(
             trait, any -> new Suspect(new ArrayList<>(), answers(trait.service())));
     List<CrashedRun> runs = suspect.runs();
-    if (runs.stream().anyMatch(run::isSameRun)) {
-      return false;
-    }
     boolean isCounted = !trait.isPart() && successiveCrashes(trait, runs) >= REQUEST_CRASH_COUNT;
     if (!isCounted) {
       runs.removeIf(other -> run.brokenAt() - other.brokenAt() > suspicionMillis(trait));
@@ -146,10 +164,11 @@
    * @return whether this ends a suspicion
    */
   boolean clear(RequestTrait trait, long at) {
-    if (trait.isPart() && at > answeredAt(trait)) {
+    Suspect suspect = suspects.get(trait);
+    boolean isRemembered = trait.isPart() || suspect != null;
+    if (isRemembered && at > answeredAt(trait)) {
       answeredAt.renew(trait, at);
     }
-    Suspect suspect = suspects.get(trait);
     if (suspect == null || !suspect.runs().removeIf(run -> run.sentAt() <= at)) {
       return false;
     }
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -157,7 +157,7 @@
   }
 
   private Stream<Clearing> answeredParts(RequestTraits request, long since) {
-    return answered(request.parts(), since);
+    return answered(request.all(), since);
   }
 
   private Stream<Clearing> answered(Set<RequestTrait> traits, long since) {
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -286,4 +286,37 @@
         .extracting(CrashFindings.Clearing::trait)
         .containsExactly(RequestTrait.ofPart("s", "part"));
   }
+
+  // Guards against suspicions that go round for ever, as a report that arrives late brings them
+  // back
+  // where they were cleared.
+  @Test
+  void clearedSuspicionIsNotBroughtBackByLateReport() {
+    crash(INNOCENT, "a", 0, 10);
+    CrashedRun withPart = new CrashedRun(withParts("w", "1", "part"), "b", 20, 30);
+    quarantine.onReport(report(withPart));
+    quarantine.onCompleted(INNOCENT, 40);
+    answer(40, "part");
+
+    assertThat(quarantine.onReport(report(run(INNOCENT, "a", 60, 70))).isEmpty()).isTrue();
+    CrashedRun late = new CrashedRun(withPart.request(), "b", 60, 70);
+    assertThat(quarantine.onReport(report(late)).isEmpty()).isTrue();
+    assertThat(quarantine.mayRepeat(withPart.request())).isTrue();
+  }
+
+  // Guards against a request that is quarantined again at all entries by one that missed its
+  // answer.
+  @Test
+  void reportOfRequestThatWasCompletedSinceIsContradicted() {
+    crash(INNOCENT, "a", 0, 10);
+    crash(INNOCENT, "b", 20, 30);
+    CrashFindings before = quarantine.all();
+    quarantine.onCompleted(INNOCENT, 40);
+
+    assertThat(quarantine.contradictions(before).cleared())
+        .extracting(CrashFindings.Clearing::trait)
+        .containsExactly(RequestTrait.ofRequest(INNOCENT));
+    assertThat(quarantine.onReport(before).isEmpty()).isTrue();
+    assertThat(isQuarantined(INNOCENT, 50)).isFalse();
+  }
 }
