Tell a report on crashes on three times at most

What callers saw: as before. Cause: probes and times are dated anew by each entry, so a probe that is more than a second late seems to be another one, and is told on without end where entries' views of the relays differ.

CrashExchangeTest.reportIsToldOnThreeTimesAtMost guards it.

Why it works: reports count how often they were told on. Two times suffice from an entry that is no relay to all others; what a third doesn't reach comes with the next link.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -56,6 +56,12 @@
    */
   private static final long FINDINGS_WAIT_MILLIS = 800;
 
+  /**
+   * How often entries tell on a report. From an entry that is no relay to all others takes two
+   * times; reports are dated anew by each, so that a late one may seem new where it is not.
+   */
+  private static final int MAXIMUM_HOPS = 3;
+
   /** Least time between two checks of a silent target, milliseconds. */
   private static final long SILENT_CHECK_MILLIS = 2_000;
 
@@ -250,8 +256,8 @@
       broadcast(Cause.FOUND, own, now);
     }
     CrashFindings told = withoutReported(news, own);
-    if (!told.isEmpty()) {
-      sender.forward().accept(CrashMessages.frame(told, now));
+    if (!told.isEmpty() && report.getHops() < MAXIMUM_HOPS) {
+      sender.forward().accept(CrashMessages.forwardedFrame(told, report.getHops() + 1, now));
     }
     metrics.onMerged(System.nanoTime() - startedAt);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
@@ -44,6 +44,16 @@
     return Frame.newBuilder().setCrashReport(report(findings, now).setDirect(true)).build();
   }
 
+  /**
+   * Returns a message that tells on what another entry reported.
+   *
+   * @param hops how often it was told on, this time included
+   * @param now the sender's time, milliseconds
+   */
+  static Frame forwardedFrame(CrashFindings findings, int hops, long now) {
+    return Frame.newBuilder().setCrashReport(report(findings, now).setHops(hops)).build();
+  }
+
   private static CrashReport.Builder report(CrashFindings findings, long now) {
     CrashReport.Builder report = CrashReport.newBuilder();
     findings.runs().forEach(run -> report.addRuns(message(run, now)));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -3,7 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.entries.EntryRoster;
+import dev.ibishub.core.serving.crashes.CrashFindings;
+import dev.ibishub.core.serving.crashes.RequestTrait;
+import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.generated.Frame;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -76,6 +81,28 @@
     }
   }
 
+  // Guards against a report that is told on for ever, as each entry dates it anew.
+  @Test
+  void reportIsToldOnThreeTimesAtMost() {
+    CrashDetector crashes = new CrashDetector(any -> {});
+    List<Frame> forwarded = new ArrayList<>();
+    for (int hops = 0; hops <= 4; hops++) {
+      CrashFindings probe =
+          new CrashFindings(
+              List.of(),
+              List.of(),
+              List.of(new CrashFindings.Probe(RequestTrait.ofPart("s", "p" + hops), 2_000 + hops)),
+              List.of());
+      crashes.onReport(
+          CrashMessages.forwardedFrame(probe, hops, 0).getCrashReport(),
+          new PeerMesh.Sender(reply -> {}, forwarded::add));
+    }
+
+    assertThat(forwarded)
+        .extracting(frame -> frame.getCrashReport().getHops())
+        .containsExactly(1, 2, 3);
+  }
+
   // Guards against findings that reach only the relays, as those take their sender for one of them.
   @Test
   void findingOfEachEntryReachesAll() {
