Exchange digests of the evidence on crashes over a new link

What callers saw: nothing; entries that lost links for a moment held their event loops with evidence that they had, and lost more links.

Cause: both ends of each new link sent all evidence in one message, with parts that the sender knew to be answered, which the receiver then contradicted one by one.

Three new cases of CrashExchangeTest are red before: a link that is opened again brings all 300 runs, in one message.

Why it works: each end sends hashes of its evidence in 64 buckets by trait, and the other answers with what it knows in the buckets that differ, without answered parts, in messages of 64 items at most, and an end mark, which ends the wait of an entry that starts. Times are not hashed, as each entry has its own. Anti-entropy by digests was weighed against a log for each entry with versions: that needs all origins' positions at each entry, and doesn't repair what was evicted or lost.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -200,10 +201,17 @@
     return suspect == null ? List.of() : suspect.runs();
   }
 
-  /** Returns all runs, each once. */
-  List<CrashedRun> all() {
-    return suspects.values().stream()
-        .flatMap(suspect -> suspect.runs().stream())
+  /** Passes each suspected trait with each of its runs. */
+  void forEach(BiConsumer<RequestTrait, CrashedRun> consumer) {
+    suspects.forEach(
+        (trait, suspect) -> suspect.runs().forEach(run -> consumer.accept(trait, run)));
+  }
+
+  /** Returns the runs of the suspected traits that match, each once. */
+  List<CrashedRun> runsOfTraitsThat(Predicate<RequestTrait> matches) {
+    return suspects.entrySet().stream()
+        .filter(suspect -> matches.test(suspect.getKey()))
+        .flatMap(suspect -> suspect.getValue().runs().stream())
         .distinct()
         .toList();
   }
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
@@ -1,6 +1,8 @@
 package dev.ibishub.core.serving.crashes;
 
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * What entries tell each other about requests that crash targets. Times are milliseconds of this
@@ -46,6 +48,31 @@
     return new CrashFindings(runs, cleared, List.of(), decided);
   }
 
+  /** Returns the same findings in order, in pages of a limited number of items. */
+  public List<CrashFindings> pages(int maximumItems) {
+    List<CrashFindings> items =
+        Stream.of(
+                runs.stream().map(run -> of(List.of(run), List.of(), List.of())),
+                cleared.stream().map(each -> of(List.of(), List.of(each), List.of())),
+                probes.stream()
+                    .map(each -> new CrashFindings(List.of(), List.of(), List.of(each), List.of())),
+                quarantines.stream().map(each -> of(List.of(), List.of(), List.of(each))))
+            .flatMap(each -> each)
+            .toList();
+    return IntStream.iterate(0, from -> from < items.size(), from -> from + maximumItems)
+        .mapToObj(from -> items.subList(from, Math.min(items.size(), from + maximumItems)))
+        .map(CrashFindings::joined)
+        .toList();
+  }
+
+  private static CrashFindings joined(List<CrashFindings> all) {
+    return new CrashFindings(
+        all.stream().flatMap(each -> each.runs.stream()).toList(),
+        all.stream().flatMap(each -> each.cleared.stream()).toList(),
+        all.stream().flatMap(each -> each.probes.stream()).toList(),
+        all.stream().flatMap(each -> each.quarantines.stream()).toList());
+  }
+
   /** Whether there is nothing to tell. */
   public boolean isEmpty() {
     return runs.isEmpty() && cleared.isEmpty() && probes.isEmpty() && quarantines.isEmpty();
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -64,6 +64,9 @@
   /** The crashed incarnations that quarantines explain; empty if they are to be worked out anew. */
   private Optional<Set<String>> explained = Optional.empty();
 
+  /** The digest of the present suspicions; empty if it is to be worked out anew. */
+  private Optional<EvidenceDigest> digest = Optional.empty();
+
   /** When parts are to be judged by new evidence; {@link Long#MAX_VALUE} if there is none. */
   private long decisionDueAt = Long.MAX_VALUE;
 
@@ -101,7 +104,7 @@
 
   private CrashFindings addAll(Collection<CrashedRun> runs) {
     List<CrashedRun> added = runs.stream().flatMap(run -> evidence.add(run).stream()).toList();
-    explained = Optional.empty();
+    onChange();
     added.stream()
         .mapToLong(CrashedRun::brokenAt)
         .max()
@@ -219,7 +222,9 @@
   /** Ends the suspicion of a trait at all; returns whether there was any. */
   private boolean clear(RequestTrait trait, long at) {
     boolean wasSuspected = evidence.clear(trait, at);
-    explained = wasSuspected ? Optional.empty() : explained;
+    if (wasSuspected) {
+      onChange();
+    }
     List<Quarantine> affected =
         quarantines.values().stream()
             .filter(each -> each.traits().contains(trait) && each.firstSentAt() <= at)
@@ -233,7 +238,7 @@
 
   private void removeFrom(Quarantine quarantine, RequestTrait trait) {
     quarantines.remove(quarantine.traits());
-    explained = Optional.empty();
+    onChange();
     Set<RequestTrait> remaining = new HashSet<>(quarantine.traits());
     remaining.remove(trait);
     if (!remaining.isEmpty()) {
@@ -241,6 +246,11 @@
     }
   }
 
+  private void onChange() {
+    explained = Optional.empty();
+    digest = Optional.empty();
+  }
+
   /** Whether any request may be held back, so that its traits are needed. */
   public synchronized boolean isWatching() {
     return !evidence.isEmpty() || !quarantines.isEmpty();
@@ -350,9 +360,29 @@
     return List.copyOf(evidence.runs(trait));
   }
 
-  /** Returns all suspicions, to send to an entry that has just been linked. */
+  /** Returns a digest of all suspicions, to find out what another entry doesn't know. */
+  public synchronized EvidenceDigest digest() {
+    if (digest.isEmpty()) {
+      digest = Optional.of(EvidenceDigest.of(evidence, quarantines.values()));
+    }
+    return digest.get();
+  }
+
+  /** Returns the suspicions in some buckets of the digest, without parts that were answered. */
+  public synchronized CrashFindings findings(Set<Integer> buckets) {
+    return CrashFindings.of(
+        evidence.runsOfTraitsThat(trait -> buckets.contains(EvidenceDigest.bucket(trait))).stream()
+            .map(evidence::withoutAnswered)
+            .toList(),
+        List.of(),
+        quarantines.values().stream()
+            .filter(each -> buckets.contains(EvidenceDigest.bucket(each)))
+            .toList());
+  }
+
+  /** Returns all suspicions. */
   public synchronized CrashFindings all() {
-    return CrashFindings.of(evidence.all(), List.of(), quarantines());
+    return findings(EvidenceDigest.EMPTY.differing(digest()));
   }
 
   /** Quarantines whole requests, and extends quarantines to further workspaces. */
@@ -402,7 +432,7 @@
   /** Forgets old evidence; to be called now and then while there is no new one. */
   public synchronized void expire(long now) {
     evidence.expire(now);
-    explained = Optional.empty();
+    onChange();
   }
 
   /** Lifts quarantines that rest only on crashes which a new quarantine explains, and more. */
@@ -446,7 +476,7 @@
 
   private void put(Quarantine quarantine) {
     quarantines.put(quarantine.traits(), quarantine);
-    explained = Optional.empty();
+    onChange();
   }
 
   /** Extends quarantines to the workspaces whose requests crashed further targets. */
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -15,6 +15,7 @@
 import dev.ibishub.runtime.IndependentSteps;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.generated.CrashDigest;
 import dev.ibishub.wire.generated.CrashReport;
 import dev.ibishub.wire.generated.Frame;
 import io.netty.bootstrap.Bootstrap;
@@ -62,6 +63,9 @@
    */
   private static final int MAXIMUM_HOPS = 3;
 
+  /** Most runs, clearings, probes and quarantines in a message, so that none holds a loop long. */
+  private static final int MAXIMUM_ITEMS = 64;
+
   /** Least time between two checks of a silent target, milliseconds. */
   private static final long SILENT_CHECK_MILLIS = 2_000;
 
@@ -243,7 +247,6 @@
 
   /** Merges a report of another entry. */
   public void onReport(CrashReport report, PeerMesh.Sender sender) {
-    findingsDueAt = Long.MIN_VALUE;
     long startedAt = System.nanoTime();
     long now = MonotonicClock.millis();
     CrashFindings reported = CrashMessages.findings(report, now);
@@ -253,7 +256,7 @@
     log(news, "crash.told");
     CrashFindings own = withoutReported(news, reported);
     if (!own.isEmpty()) {
-      broadcast(Cause.FOUND, own, now);
+      broadcast(own, now);
     }
     CrashFindings told = withoutReported(news, own);
     if (!told.isEmpty() && report.getHops() < MAXIMUM_HOPS) {
@@ -287,18 +290,40 @@
     return reported.runs().stream().anyMatch(run::isSameRun);
   }
 
-  /** Returns a message with all suspicions, for an entry that has just been linked. */
-  public Frame snapshot() {
-    CrashFindings all = quarantine.all();
-    Frame frame = CrashMessages.frame(all, MonotonicClock.millis());
-    metrics.onMessage(Cause.LINKED, all, frame);
-    return frame;
+  /** Returns a message with a digest of all suspicions, for an entry that has just been linked. */
+  public Frame digest() {
+    return CrashMessages.digestFrame(quarantine.digest());
+  }
+
+  /** Sends an entry that has just been linked what it doesn't know by its digest. */
+  public void onDigest(CrashDigest digest, PeerMesh.Sender sender) {
+    if (digest.getIsEnd()) {
+      findingsDueAt = Long.MIN_VALUE;
+      return;
+    }
+    Set<Integer> differing = quarantine.digest().differing(CrashMessages.digest(digest));
+    CrashFindings missing = quarantine.findings(differing);
+    long now = MonotonicClock.millis();
+    missing
+        .pages(MAXIMUM_ITEMS)
+        .forEach(
+            page -> {
+              Frame frame = CrashMessages.frame(page, now);
+              metrics.onMessage(Cause.LINKED, page, frame);
+              sender.reply().accept(frame);
+            });
+    sender.reply().accept(CrashMessages.digestEndFrame());
   }
 
-  private void broadcast(Cause cause, CrashFindings findings, long now) {
-    Frame frame = CrashMessages.frame(findings, now);
-    metrics.onMessage(cause, findings, frame);
-    broadcast.accept(frame);
+  private void broadcast(CrashFindings findings, long now) {
+    findings
+        .pages(MAXIMUM_ITEMS)
+        .forEach(
+            page -> {
+              Frame frame = CrashMessages.frame(page, now);
+              metrics.onMessage(Cause.FOUND, page, frame);
+              broadcast.accept(frame);
+            });
   }
 
   private void publish(CrashFindings findings) {
@@ -307,7 +332,7 @@
           "report of crashes",
           List.of(
               () -> log(findings, "crash.suspected"),
-              () -> broadcast(Cause.FOUND, findings, MonotonicClock.millis())));
+              () -> broadcast(findings, MonotonicClock.millis())));
     }
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
@@ -4,17 +4,20 @@
 import dev.ibishub.core.serving.crashes.CrashFindings.Clearing;
 import dev.ibishub.core.serving.crashes.CrashFindings.Probe;
 import dev.ibishub.core.serving.crashes.CrashedRun;
+import dev.ibishub.core.serving.crashes.EvidenceDigest;
 import dev.ibishub.core.serving.crashes.Quarantine;
 import dev.ibishub.core.serving.crashes.RequestIdentity;
 import dev.ibishub.core.serving.crashes.RequestTrait;
 import dev.ibishub.core.serving.crashes.RequestTraits;
 import dev.ibishub.wire.generated.BrokenRun;
 import dev.ibishub.wire.generated.ClearedPart;
+import dev.ibishub.wire.generated.CrashDigest;
 import dev.ibishub.wire.generated.CrashReport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.ProbedPart;
 import dev.ibishub.wire.generated.PromptPart;
 import dev.ibishub.wire.generated.QuarantinedRequests;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -54,6 +57,25 @@
     return Frame.newBuilder().setCrashReport(report(findings, now).setHops(hops)).build();
   }
 
+  static Frame digestFrame(EvidenceDigest digest) {
+    boolean isEmpty = digest.equals(EvidenceDigest.EMPTY);
+    return digestFrame(
+        CrashDigest.newBuilder().addAllBuckets(isEmpty ? List.of() : digest.buckets()));
+  }
+
+  private static Frame digestFrame(CrashDigest.Builder digest) {
+    return Frame.newBuilder().setCrashDigest(digest).build();
+  }
+
+  /** Returns a message that ends what is sent in reply to a digest. */
+  static Frame digestEndFrame() {
+    return digestFrame(CrashDigest.newBuilder().setIsEnd(true));
+  }
+
+  static EvidenceDigest digest(CrashDigest message) {
+    return new EvidenceDigest(message.getBucketsList());
+  }
+
   private static CrashReport.Builder report(CrashFindings findings, long now) {
     CrashReport.Builder report = CrashReport.newBuilder();
     findings.runs().forEach(run -> report.addRuns(message(run, now)));
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -8,6 +8,7 @@
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.CrashDigest;
 import dev.ibishub.wire.generated.CrashReport;
 import dev.ibishub.wire.generated.EntryBeat;
 import dev.ibishub.wire.generated.Frame;
@@ -139,6 +140,7 @@
    *     process id; returns whether any were news
    * @param onCrashes takes another entry's findings on requests that crash targets, and what to do
    *     with what follows from them
+   * @param onCrashDigest takes a digest of those findings, over a link that has just been opened
    * @param onLimits takes the request limits that targets stated to another entry; returns whether
    *     any were news
    * @param onLoads takes the loads of targets that another entry collected
@@ -149,6 +151,7 @@
   public record Listener(
       BiPredicate<RecordProgress, String> onProgress,
       BiConsumer<CrashReport, Sender> onCrashes,
+      BiConsumer<CrashDigest, Sender> onCrashDigest,
       Predicate<LimitReport> onLimits,
       Consumer<LoadReports> onLoads,
       Consumer<ReadTurn> onTurn,
@@ -181,7 +184,8 @@
   /**
    * Creates a mesh without links.
    *
-   * @param snapshots returns all that this entry knows, which is sent over each new link
+   * @param snapshots returns what tells an entry all that this one knows, which is sent over each
+   *     new link
    */
   public PeerMesh(
       Self self, WireTransport transport, Supplier<List<Frame>> snapshots, Listener listener) {
@@ -390,6 +394,8 @@
               frame,
               listener.onProgress().test(frame.getRecordProgress(), link.peer().processId()));
       case CRASH_REPORT -> listener.onCrashes().accept(frame.getCrashReport(), sender(link, frame));
+      case CRASH_DIGEST ->
+          listener.onCrashDigest().accept(frame.getCrashDigest(), sender(link, frame));
       case LIMIT_REPORT ->
           forwardIfNews(link, frame, listener.onLimits().test(frame.getLimitReport()));
       case LOG_EPOCH -> forwardIfNews(link, frame, listener.onEpoch().test(frame.getLogEpoch()));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
@@ -32,6 +32,7 @@
   private final Deque<Delivery> underWay = new ArrayDeque<>();
   private long messages;
   private long bytes;
+  private int mostRuns;
 
   /** A message on its way over a link. */
   private record Delivery(Entry to, Link over, Frame frame) {}
@@ -52,10 +53,11 @@
           new PeerMesh(
               new PeerMesh.Self(host, host, 1, host + ":1", number, () -> true, () -> false),
               transport,
-              () -> List.of(crashes.snapshot()),
+              () -> List.of(crashes.digest()),
               new PeerMesh.Listener(
                   (progress, sender) -> false,
                   crashes::onReport,
+                  crashes::onDigest,
                   limits -> false,
                   loads -> {},
                   turn -> {},
@@ -110,6 +112,7 @@
           frame = side.channel().readOutbound()) {
         if (frame.hasCrashReport()) {
           messages++;
+          mostRuns = Math.max(mostRuns, frame.getCrashReport().getRunsCount());
           bytes += frame.getSerializedSize();
         }
         underWay.add(new Delivery(side.to(), side.received(), frame));
@@ -157,6 +160,37 @@
     crashes.onIncarnationEnded(target);
   }
 
+  /** Links two entries anew, as after a lost link. */
+  void relink(int one, int other) {
+    link(entries.get(one), entries.get(other));
+  }
+
+  /** Starts one more entry, which links to the relays. */
+  void addEntry() {
+    Entry added = new Entry(entries.size());
+    entries.add(added);
+    entries.subList(0, EntryRoster.RELAY_COUNT).forEach(relay -> link(added, relay));
+  }
+
+  /** Loses all messages that an action causes. */
+  void loseMessages(Runnable action) {
+    action.run();
+    entries.forEach(this::collect);
+    underWay.clear();
+  }
+
+  /** Counts messages from now on. */
+  void resetCounts() {
+    messages = 0;
+    bytes = 0;
+    mostRuns = 0;
+  }
+
+  /** Returns the largest number of runs in a message. */
+  int mostRuns() {
+    return mostRuns;
+  }
+
   /** Returns which entries suspect requests with a part. */
   List<Integer> suspecting(String part) {
     RequestTraits request =
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -20,6 +20,7 @@
 /** Evidence on crashes between entries: who learns what, and how many messages that takes. */
 final class CrashExchangeTest {
   private static final int REPORTS = 10;
+  private static final int MANY_RUNS = 300;
   private static final int MOST = 50_000;
   private static final List<String> PARTS = List.of("p1", "p2", "p3");
 
@@ -103,6 +104,60 @@
         .containsExactly(1, 2, 3);
   }
 
+  // Guards against links that bring all evidence each time that they are opened, which holds the
+  // event loops of both entries so long that they lose their links again.
+  @Test
+  void linkThatIsOpenedAgainBringsNothingThatIsKnown() {
+    try (CrashExchangeModel model = new CrashExchangeModel(8, List.of())) {
+      model.crash(5, "t", MANY_RUNS, PARTS, MonotonicClock.millis());
+      model.deliverAll(MOST);
+      model.resetCounts();
+      numbers(1, 8).forEach(number -> model.relink(number, 0));
+      model.deliverAll(MOST);
+
+      assertThat(model.messages()).isZero();
+    }
+  }
+
+  // Guards against entries that start and don't learn everything, or by messages that hold their
+  // event loops.
+  @Test
+  void startedEntryLearnsAllInSmallMessages() {
+    try (CrashExchangeModel model = new CrashExchangeModel(8, List.of())) {
+      long now = MonotonicClock.millis();
+      model.crash(5, "t", MANY_RUNS, PARTS, now);
+      model.crash(6, "u", 1, List.of("p4"), now);
+      model.deliverAll(MOST);
+      model.resetCounts();
+      model.addEntry();
+      model.deliverAll(MOST);
+
+      assertThat(model.suspecting("p1")).isEqualTo(numbers(0, 9));
+      assertThat(model.suspecting("p4")).isEqualTo(numbers(0, 9));
+      assertThat(model.mostRuns()).isBetween(1, MANY_RUNS / 4);
+    }
+  }
+
+  // Guards against two parts of a fleet that each keep to themselves what they found while they
+  // were
+  // cut from each other.
+  @Test
+  void linkBetweenPartsOfFleetBringsWhatEachLacks() {
+    try (CrashExchangeModel model = new CrashExchangeModel(8, List.of())) {
+      long now = MonotonicClock.millis();
+      model.crash(5, "t", MANY_RUNS, PARTS, now);
+      model.deliverAll(MOST);
+      model.loseMessages(() -> model.crash(6, "u", 1, List.of("p4"), now));
+      assertThat(model.suspecting("p4")).containsExactly(6);
+      model.resetCounts();
+      model.relink(6, 0);
+      model.deliverAll(MOST);
+
+      assertThat(model.suspecting("p4")).isEqualTo(numbers(0, 8));
+      assertThat(model.mostRuns()).isLessThanOrEqualTo(MANY_RUNS / 4);
+    }
+  }
+
   // Guards against findings that reach only the relays, as those take their sender for one of them.
   @Test
   void findingOfEachEntryReachesAll() {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
@@ -93,11 +93,15 @@
                       TimeUnit.MILLISECONDS));
     }
 
-    private void onFrame(Entry sender, Frame frame) {
-      crashes.onReport(
-          frame.getCrashReport(),
+    private void onFrame(Entry other, Frame frame) {
+      PeerMesh.Sender sender =
           new PeerMesh.Sender(
-              reply -> group.execute(() -> sender.onFrame(this, reply)), forwarded -> {}));
+              reply -> group.execute(() -> other.onFrame(this, reply)), forwarded -> {});
+      if (frame.hasCrashDigest()) {
+        crashes.onDigest(frame.getCrashDigest(), sender);
+      } else {
+        crashes.onReport(frame.getCrashReport(), sender);
+      }
     }
 
     private RequestContext context() {
@@ -135,7 +139,13 @@
   /** Starts one more entry, which gets the findings of the others before it serves. */
   void addEntry() throws IOException {
     Entry added = new Entry();
-    entries.stream().findFirst().ifPresent(first -> added.onFrame(first, first.crashes.snapshot()));
+    entries.stream()
+        .findFirst()
+        .ifPresent(
+            first ->
+                first.crashes.onDigest(
+                    added.crashes.digest().getCrashDigest(),
+                    new PeerMesh.Sender(reply -> added.onFrame(first, reply), forwarded -> {})));
     entries.add(added);
   }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -46,6 +46,7 @@
         new PeerMesh.Listener(
             (progress, sender) -> false,
             (crashes, sender) -> {},
+            (digest, sender) -> {},
             limits -> false,
             loads -> {},
             turn -> {},
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -216,6 +216,7 @@
         new PeerMesh.Listener(
             topics::onProgress,
             crashes::onReport,
+            crashes::onDigest,
             limits::onReport,
             this::onLoads,
             this::onTurn,
@@ -343,10 +344,12 @@
     mesh.broadcast(frame);
   }
 
-  /** Returns messages with all that this entry knows, for an entry that has just been linked. */
+  /**
+   * Returns messages that tell all that this entry knows, for an entry that has just been linked.
+   */
   private List<Frame> snapshots() {
     return Stream.of(
-            topics.snapshots().stream(), Stream.of(crashes.snapshot()), limits.snapshot().stream())
+            topics.snapshots().stream(), Stream.of(crashes.digest()), limits.snapshot().stream())
         .flatMap(frames -> frames)
         .toList();
   }
