Judge evidence on crashes only when it or the answers changed

What callers saw: nothing; with much evidence each request and each message held the event loop for some milliseconds.

Cause: parts with three crashes were judged anew at each request, also when neither the evidence nor the answers had changed; all runs of each suspect were filtered and their traits built anew for each comparison; each reported run looked through all 2,048 unconfirmed ones; and all parts that are guilty at once were decided in one step.

After that at most four quarantines are decided in a step. It has no test, as tests don't time.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
@@ -84,6 +84,8 @@
    */
   private final BoundedMap<Sighting, Boolean> seen = new BoundedMap<>(MAXIMUM_SEEN);
 
+  private long totalAnswers;
+
   private final Map<String, Crash> crashes = new BoundedMap<>(MAXIMUM_KEPT);
 
   /**
@@ -156,9 +158,15 @@
 
   /** Takes in that a target began to answer a request of a service. */
   void countAnswer(String service) {
+    totalAnswers++;
     answersByService.merge(service, 1L, Long::sum);
   }
 
+  /** Returns how many answers began so far. */
+  long totalAnswers() {
+    return totalAnswers;
+  }
+
   /**
    * Takes in that a trait is cleared.
    *
@@ -224,7 +232,7 @@
   List<CrashedRun> runsWith(Set<RequestTrait> parts) {
     return parts.stream()
         .flatMap(part -> runs(part).stream())
-        .filter(run -> run.request().parts().containsAll(parts))
+        .filter(run -> run.request().hasParts(parts))
         .distinct()
         .sorted(Comparator.comparingLong(CrashedRun::brokenAt))
         .toList();
@@ -246,6 +254,9 @@
    * @param counts tells which of its runs count
    */
   boolean isGuilty(RequestTrait part, Predicate<CrashedRun> counts) {
+    if (runs(part).size() < PART_CRASH_COUNT) {
+      return false;
+    }
     List<CrashedRun> runs = runs(part).stream().filter(counts).toList();
     if (runs.isEmpty()) {
       return false;
@@ -262,7 +273,9 @@
 
   /** Whether a part has run at enough crashed targets, so that answers of others may decide. */
   boolean mayAnswersDecide(Predicate<CrashedRun> counts) {
-    return suspectedParts().anyMatch(part -> crashes(part, counts) >= PART_CRASH_COUNT);
+    return suspectedParts()
+        .filter(part -> runs(part).size() >= PART_CRASH_COUNT)
+        .anyMatch(part -> crashes(part, counts) >= PART_CRASH_COUNT);
   }
 
   /** Returns how many targets crashed while they ran requests with a trait. */
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
@@ -37,7 +37,7 @@
   private boolean isNarrower(RequestTrait narrow, RequestTrait wide) {
     List<CrashedRun> runs = evidence.runs(narrow);
     return runs.size() < evidence.runs(wide).size()
-        && runs.stream().allMatch(run -> run.request().parts().contains(wide));
+        && runs.stream().allMatch(run -> run.request().hasPart(wide));
   }
 
   /**
@@ -64,7 +64,7 @@
   /** Returns the parts that all of some requests have. */
   private static Stream<RequestTrait> commonParts(List<CrashedRun> runs) {
     return runs.get(0).request().parts().stream()
-        .filter(part -> runs.stream().allMatch(run -> run.request().parts().contains(part)));
+        .filter(part -> runs.stream().allMatch(run -> run.request().hasPart(part)));
   }
 
   /**
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -56,6 +57,11 @@
   /** Maximum number of quarantines, not below that of suspected traits; the oldest are evicted. */
   static final int MAXIMUM_QUARANTINES = CrashEvidence.MAXIMUM_KEPT;
 
+  /** Most quarantines that are decided in one step; further ones follow with the next. */
+  private static final int MAXIMUM_DECISIONS = 4;
+
+  private static final long NOT_JUDGED = -1;
+
   private final UnconfirmedRuns unconfirmed = new UnconfirmedRuns();
   private final CrashEvidence evidence = new CrashEvidence();
   private final Map<Set<RequestTrait>, Quarantine> quarantines =
@@ -70,6 +76,11 @@
   /** When parts are to be judged by new evidence; {@link Long#MAX_VALUE} if there is none. */
   private long decisionDueAt = Long.MAX_VALUE;
 
+  /**
+   * The number of answers when the present evidence was judged; the same number changes nothing.
+   */
+  private long judgedAnswers = NOT_JUDGED;
+
   private final Map<RequestTrait, Long> probedUntil = new BoundedMap<>(CrashEvidence.MAXIMUM_KEPT);
 
   /**
@@ -139,8 +150,8 @@
         report.cleared().stream().filter(each -> clear(each.trait(), each.at())).toList();
     CrashFindings found = addAll(report.runs());
     List<CrashedRun> ownRuns =
-        report.runs().stream()
-            .flatMap(run -> unconfirmed.onCrashed(run.targetIncarnation(), run.brokenAt()).stream())
+        crashTimes(report.runs()).entrySet().stream()
+            .flatMap(crash -> unconfirmed.onCrashed(crash.getKey(), crash.getValue()).stream())
             .toList();
     CrashFindings own = addAll(ownRuns);
     List<Quarantine> merged =
@@ -154,6 +165,17 @@
         concat(concat(found.quarantines(), own.quarantines()), merged));
   }
 
+  /** Returns when each target crashed, by the first run that broke off there. */
+  private static Map<String, Long> crashTimes(List<CrashedRun> runs) {
+    return runs.stream()
+        .collect(
+            Collectors.toMap(
+                CrashedRun::targetIncarnation,
+                CrashedRun::brokenAt,
+                (first, other) -> first,
+                LinkedHashMap::new));
+  }
+
   /** Whether a probe is not known yet. Its end is dated differently by each entry. */
   private boolean isNews(Probe probe) {
     return probe.until() - probedUntil.getOrDefault(probe.trait(), 0L) > PROBE_MILLIS / 2;
@@ -249,6 +271,7 @@
   private void onChange() {
     explained = Optional.empty();
     digest = Optional.empty();
+    judgedAnswers = NOT_JUDGED;
   }
 
   /** Whether any request may be held back, so that its traits are needed. */
@@ -406,7 +429,7 @@
    * @return what to tell the other entries
    */
   public synchronized CrashFindings decide(long now) {
-    if (now < decisionDueAt) {
+    if (now < decisionDueAt || judgedAnswers == evidence.totalAnswers()) {
       return CrashFindings.NONE;
     }
     expire(now);
@@ -417,14 +440,17 @@
     Set<Set<RequestTrait>> blamed = new HashSet<>();
     Optional<Set<RequestTrait>> guilty = blame.next();
     // Whatever the evidence, none is blamed twice.
-    while (guilty.isPresent() && blamed.add(guilty.get())) {
+    while (guilty.isPresent() && decided.size() < MAXIMUM_DECISIONS && blamed.add(guilty.get())) {
       Quarantine quarantine = quarantine(guilty.get(), evidence.runsWith(guilty.get()));
       decided.add(quarantine);
       lifted.addAll(liftExplainedBy(quarantine, now));
       guilty = blame.next();
     }
-    if (!evidence.mayAnswersDecide(this::isUnexplained)) {
-      decisionDueAt = Long.MAX_VALUE;
+    if (decided.size() < MAXIMUM_DECISIONS) {
+      judgedAnswers = evidence.totalAnswers();
+      if (!evidence.mayAnswersDecide(this::isUnexplained)) {
+        decisionDueAt = Long.MAX_VALUE;
+      }
     }
     return CrashFindings.of(List.of(), lifted, decided);
   }
@@ -484,14 +510,17 @@
     return added.stream()
         .flatMap(
             run ->
-                List.copyOf(quarantines.values()).stream()
-                    .filter(each -> run.request().all().containsAll(each.traits()))
+                quarantinesWithin(run.request().all()).stream()
                     .filter(each -> !each.workspaces().contains(run.request().workspace()))
                     .map(each -> each.merge(withWorkspaceOf(each, run))))
         .peek(this::put)
         .toList();
   }
 
+  private List<Quarantine> quarantinesWithin(Set<RequestTrait> traits) {
+    return quarantines.values().stream().filter(each -> traits.containsAll(each.traits())).toList();
+  }
+
   private static Quarantine withWorkspaceOf(Quarantine quarantine, CrashedRun run) {
     return new Quarantine(
         quarantine.traits(),
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestTraits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestTraits.java
@@ -1,5 +1,6 @@
 package dev.ibishub.core.serving.crashes;
 
+import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,6 +33,16 @@
     return inOrder(partIds.stream().map(id -> RequestTrait.ofPart(service, id)));
   }
 
+  /** Whether one of the prompt's parts has a trait. */
+  boolean hasPart(RequestTrait part) {
+    return part.isPart() && part.service().equals(service) && partIds.contains(part.id());
+  }
+
+  /** Whether the prompt has all of some parts. */
+  boolean hasParts(Collection<RequestTrait> parts) {
+    return parts.stream().allMatch(this::hasPart);
+  }
+
   /** Returns all traits. */
   public Set<RequestTrait> all() {
     return inOrder(Stream.concat(Stream.of(RequestTrait.ofRequest(identity)), parts().stream()));
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/UnconfirmedRuns.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/UnconfirmedRuns.java
@@ -50,7 +50,9 @@
     crashedAt.putIfAbsent(targetIncarnation, at);
     List<CrashedRun> ranThere =
         runs.stream().filter(run -> run.targetIncarnation().equals(targetIncarnation)).toList();
-    runs.removeAll(ranThere);
+    if (!ranThere.isEmpty()) {
+      runs.removeIf(run -> run.targetIncarnation().equals(targetIncarnation));
+    }
     return ranThere.stream().filter(this::isInFlightAtCrash).toList();
   }
 
