Limit the log lines on crashes to 20 a second

Cause: one line for each item of a message, without a bound.

Why it works: LogLimit lets 20 lines a second through for findings and 20 for quarantines, and counts the others in crash.omitted. Counters go on counting all.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -14,6 +14,7 @@
 import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.runtime.IndependentSteps;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.LogLimit;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.CrashDigest;
 import dev.ibishub.wire.generated.CrashReport;
@@ -34,6 +35,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
@@ -66,6 +68,9 @@
   /** Most runs, clearings, probes and quarantines in a message, so that none holds a loop long. */
   private static final int MAXIMUM_ITEMS = 64;
 
+  /** Most log lines a second on findings, and as many on quarantines. */
+  private static final int MAXIMUM_LINES_PER_SECOND = 20;
+
   /** Least time between two checks of a silent target, milliseconds. */
   private static final long SILENT_CHECK_MILLIS = 2_000;
 
@@ -77,6 +82,8 @@
   private final Consumer<Frame> broadcast;
   private final BooleanSupplier leads;
   private final CrashMetrics metrics;
+  private final LogLimit findingLines = new LogLimit(MAXIMUM_LINES_PER_SECOND);
+  private final LogLimit quarantineLines = new LogLimit(MAXIMUM_LINES_PER_SECOND);
   private volatile long findingsDueAt = Long.MIN_VALUE;
   private volatile long expiryDueAt;
 
@@ -120,6 +127,8 @@
 
   /** Judges the evidence so far, and forgets what is old. To be called often. */
   public void tick(long now) {
+    logOmitted("findings", findingLines, now);
+    logOmitted("quarantines", quarantineLines, now);
     if (!quarantine.isWatching()) {
       return;
     }
@@ -337,40 +346,47 @@
   }
 
   private void log(CrashFindings findings, String runEvent) {
-    findings.runs().forEach(run -> logRun(runEvent, run));
-    findings.cleared().forEach(CrashDetector::logCleared);
-    findings.quarantines().forEach(CrashDetector::logQuarantine);
+    findings.quarantines().forEach(each -> logLimited(quarantineLines, () -> event(each)));
+    findings.runs().forEach(run -> logLimited(findingLines, () -> event(runEvent, run)));
+    findings.cleared().forEach(each -> logLimited(findingLines, () -> event(each)));
     metrics.onFindings(findings);
   }
 
-  private void logRun(String event, CrashedRun run) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of(event)
-            .with("identity", run.request().identity().digest())
-            .with("service", run.request().service())
-            .with("parts", String.join(",", run.request().partIds()))
-            .with("target_life", run.targetIncarnation())
-            .with("ran_ms", run.brokenAt() - run.sentAt())
-            .with("crashes", quarantine.crashes(run.request().identity())));
+  private static void logLimited(LogLimit limit, Supplier<LogEvent> event) {
+    if (limit.tryLog(MonotonicClock.millis())) {
+      logger.atInfo().log("%s", event.get());
+    }
   }
 
-  private static void logCleared(Clearing cleared) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of("crash.cleared")
-            .with("trait", cleared.trait().id())
-            .with("service", cleared.trait().service()));
+  private static void logOmitted(String of, LogLimit limit, long now) {
+    long omitted = limit.takeOmitted(now);
+    if (omitted > 0) {
+      logger.atInfo().log("%s", LogEvent.of("crash.omitted").with("of", of).with("lines", omitted));
+    }
   }
 
-  private static void logQuarantine(Quarantine quarantine) {
-    logger.atInfo().log(
-        "%s",
-        LogEvent.of("crash.quarantined")
-            .with("traits", ids(quarantine.traits()))
-            .with("workspaces", quarantine.workspaces().size())
-            .with("trials", quarantine.trials())
-            .with("next_trial_ms", quarantine.nextTrialAt() - MonotonicClock.millis()));
+  private LogEvent event(String name, CrashedRun run) {
+    return LogEvent.of(name)
+        .with("identity", run.request().identity().digest())
+        .with("service", run.request().service())
+        .with("parts", String.join(",", run.request().partIds()))
+        .with("target_life", run.targetIncarnation())
+        .with("ran_ms", run.brokenAt() - run.sentAt())
+        .with("crashes", quarantine.crashes(run.request().identity()));
+  }
+
+  private static LogEvent event(Clearing cleared) {
+    return LogEvent.of("crash.cleared")
+        .with("trait", cleared.trait().id())
+        .with("service", cleared.trait().service());
+  }
+
+  private static LogEvent event(Quarantine quarantine) {
+    return LogEvent.of("crash.quarantined")
+        .with("traits", ids(quarantine.traits()))
+        .with("workspaces", quarantine.workspaces().size())
+        .with("trials", quarantine.trials())
+        .with("next_trial_ms", quarantine.nextTrialAt() - MonotonicClock.millis());
   }
 
   private static String ids(Set<RequestTrait> traits) {
