--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -136,6 +136,7 @@
   /**
    * Callbacks for what other entries report.
    *
+   * @param onReceived told of each message before it is handled
    * @param onProgress takes records of the platform that another entry passed on, and that entry's
    *     process id; returns whether any were news
    * @param onCrashes takes another entry's findings on requests that crash targets, and what to do
@@ -149,6 +150,7 @@
    *     is higher than known
    */
   public record Listener(
+      Consumer<Frame> onReceived,
       BiPredicate<RecordProgress, String> onProgress,
       BiConsumer<CrashReport, Sender> onCrashes,
       BiConsumer<CrashDigest, Sender> onCrashDigest,
@@ -386,6 +388,7 @@
 
   @Override
   public void onFrame(Link link, Frame frame) {
+    listener.onReceived().accept(frame);
     switch (frame.getBodyCase()) {
       case ENTRY_BEAT -> onHeartbeat(link, frame.getEntryBeat());
       case RECORD_PROGRESS ->
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
@@ -55,6 +55,7 @@
               transport,
               () -> List.of(crashes.digest()),
               new PeerMesh.Listener(
+                  frame -> {},
                   (progress, sender) -> false,
                   crashes::onReport,
                   crashes::onDigest,
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -44,6 +44,7 @@
         transport,
         List::of,
         new PeerMesh.Listener(
+            frame -> {},
             (progress, sender) -> false,
             (crashes, sender) -> {},
             (digest, sender) -> {},
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -214,6 +214,7 @@
         transport,
         this::snapshots,
         new PeerMesh.Listener(
+            metrics::onFrame,
             topics::onProgress,
             crashes::onReport,
             crashes::onDigest,
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -3,10 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.entries.LogPosition;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.wire.generated.Frame;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
@@ -15,6 +17,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final Counter storeCalls;
+  private final Counter frames;
   private final Counter readTurns;
   private final AtomicLong highestStoreEpoch = new AtomicLong(LogPosition.UNSTATED_EPOCH);
 
@@ -82,6 +85,17 @@
                     + " passed, unsent where no other entry was linked, or received.")
             .labelNames("topic", "outcome")
             .register(registry);
+    frames =
+        Counter.builder()
+            .name("ibishub_frames_received_total")
+            .help("Messages received from other entries, by kind.")
+            .labelNames("kind")
+            .register(registry);
+  }
+
+  /** Counts a message from another entry. */
+  void onFrame(Frame frame) {
+    frames.labelValues(frame.getBodyCase().name().toLowerCase(Locale.ROOT)).inc();
   }
 
   /**
