Merge one copy of a report on crashes

Cause: a report reaches each entry over each relay, and each of the copies was decoded, compared with the answers and merged.

CrashExchangeTest.copiesOfReportAreMergedOnce counts four merges without the change.

Why it works: reports carry an id of the entry that found them, and copies of one of the last 4,096 are dropped before they are decoded. Parts that one relay takes out as answered need not come by another one.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -33,6 +33,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -71,6 +72,11 @@
   /** Most log lines a second on findings, and as many on quarantines. */
   private static final int MAXIMUM_LINES_PER_SECOND = 20;
 
+  /** Number of reports of which copies are recognized; many more than come within a second. */
+  private static final int RECENT_REPORTS = 4_096;
+
+  private static final long NO_ID = 0;
+
   /** Least time between two checks of a silent target, milliseconds. */
   private static final long SILENT_CHECK_MILLIS = 2_000;
 
@@ -82,6 +88,7 @@
   private final Consumer<Frame> broadcast;
   private final BooleanSupplier leads;
   private final CrashMetrics metrics;
+  private final RecentIds recentIds = new RecentIds(RECENT_REPORTS);
   private final LogLimit findingLines = new LogLimit(MAXIMUM_LINES_PER_SECOND);
   private final LogLimit quarantineLines = new LogLimit(MAXIMUM_LINES_PER_SECOND);
   private volatile long findingsDueAt = Long.MIN_VALUE;
@@ -256,6 +263,9 @@
 
   /** Merges a report of another entry. */
   public void onReport(CrashReport report, PeerMesh.Sender sender) {
+    if (report.getId() != NO_ID && !recentIds.add(report.getId())) {
+      return;
+    }
     long startedAt = System.nanoTime();
     long now = MonotonicClock.millis();
     CrashFindings reported = CrashMessages.findings(report, now);
@@ -269,7 +279,9 @@
     }
     CrashFindings told = withoutReported(news, own);
     if (!told.isEmpty() && report.getHops() < MAXIMUM_HOPS) {
-      sender.forward().accept(CrashMessages.forwardedFrame(told, report.getHops() + 1, now));
+      sender
+          .forward()
+          .accept(CrashMessages.broadcastFrame(told, report.getId(), report.getHops() + 1, now));
     }
     metrics.onMerged(System.nanoTime() - startedAt);
   }
@@ -329,7 +341,9 @@
         .pages(MAXIMUM_ITEMS)
         .forEach(
             page -> {
-              Frame frame = CrashMessages.frame(page, now);
+              long id = ThreadLocalRandom.current().nextLong();
+              recentIds.add(id);
+              Frame frame = CrashMessages.broadcastFrame(page, id, 0, now);
               metrics.onMessage(Cause.FOUND, page, frame);
               broadcast.accept(frame);
             });
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashMessages.java
@@ -48,13 +48,15 @@
   }
 
   /**
-   * Returns a message that tells on what another entry reported.
+   * Returns a message to all entries that reports findings of this one, or tells on those of
+   * another.
    *
+   * @param id by which the entries recognize copies
    * @param hops how often it was told on, this time included
    * @param now the sender's time, milliseconds
    */
-  static Frame forwardedFrame(CrashFindings findings, int hops, long now) {
-    return Frame.newBuilder().setCrashReport(report(findings, now).setHops(hops)).build();
+  static Frame broadcastFrame(CrashFindings findings, long id, int hops, long now) {
+    return Frame.newBuilder().setCrashReport(report(findings, now).setId(id).setHops(hops)).build();
   }
 
   static Frame digestFrame(EvidenceDigest digest) {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -8,6 +8,8 @@
 import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.wire.generated.Frame;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -95,7 +97,7 @@
               List.of(new CrashFindings.Probe(RequestTrait.ofPart("s", "p" + hops), 2_000 + hops)),
               List.of());
       crashes.onReport(
-          CrashMessages.forwardedFrame(probe, hops, 0).getCrashReport(),
+          CrashMessages.broadcastFrame(probe, 1 + hops, hops, 0).getCrashReport(),
           new PeerMesh.Sender(reply -> {}, forwarded::add));
     }
 
@@ -158,6 +160,36 @@
     }
   }
 
+  // Guards against work for each copy of a report, of which each relay brings one.
+  @Test
+  void copiesOfReportAreMergedOnce() {
+    PrometheusRegistry registry = new PrometheusRegistry();
+    CrashDetector crashes = new CrashDetector(any -> {}, () -> true, registry);
+    CrashFindings found =
+        new CrashFindings(
+            List.of(),
+            List.of(new CrashFindings.Clearing(RequestTrait.ofPart("s", "p"), 0)),
+            List.of(),
+            List.of());
+    IntStream.range(0, EntryRoster.RELAY_COUNT)
+        .forEach(
+            copy ->
+                crashes.onReport(
+                    CrashMessages.broadcastFrame(found, 17, copy, 0).getCrashReport(),
+                    new PeerMesh.Sender(reply -> {}, forwarded -> {})));
+
+    assertThat(received(registry)).isEqualTo(1);
+  }
+
+  private static double received(PrometheusRegistry registry) {
+    return registry.scrape().stream()
+        .filter(metric -> metric.getMetadata().getName().equals("ibishub_crash_messages"))
+        .flatMap(metric -> ((CounterSnapshot) metric).getDataPoints().stream())
+        .filter(point -> "received".equals(point.getLabels().get("cause")))
+        .mapToDouble(CounterSnapshot.CounterDataPointSnapshot::getValue)
+        .sum();
+  }
+
   // Guards against findings that reach only the relays, as those take their sender for one of them.
   @Test
   void findingOfEachEntryReachesAll() {
