Let the targets of the play write their records again after the store returned

The play's targets never wrote again what the store had lost, as the platform's writers do, and took requests that named another target. What entries make of runs at a target that counts as ended stays listed.

--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -68,6 +68,7 @@
   private static final int LEAVING_MILLIS = 2_000;
   private static final int GUILTY_MILLIS = 166;
   private static final int TARGET_DOWN_MILLIS = 1_500;
+  private static final int REWRITE_MILLIS = 500;
   private static final int SOUND_PARTS = 200;
   private static final int PARTS_PER_REQUEST = 5;
   private static final long SECOND_MILLIS = 1_000;
@@ -85,6 +86,7 @@
   private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
   private final Map<String, ObservedTarget> targets = new ConcurrentHashMap<>();
   private final Map<String, Departure> departures = new ConcurrentHashMap<>();
+  private final Set<String> ended = ConcurrentHashMap.newKeySet();
   private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
   private final Queue<Pause> pauses = new ConcurrentLinkedQueue<>();
   private final Map<String, URI> metricsPages = new ConcurrentHashMap<>();
@@ -172,19 +174,20 @@
   }
 
   /** In a group of ranks, all targets break off what they run as one of them ends. */
-  private void onCrash(ObservedTarget ended, boolean silently) {
+  private void onCrash(ObservedTarget target) {
     if (isGroup) {
       targets.values().forEach(ObservedTarget::breakOff);
     }
-    timers.schedule(() -> replace(ended), TARGET_DOWN_MILLIS, TimeUnit.MILLISECONDS);
+    timers.schedule(() -> replace(target), TARGET_DOWN_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void replace(ObservedTarget ended) {
-    int port = ended.port();
-    ended.close();
-    targets.remove(ended.id());
+  private void replace(ObservedTarget target) {
+    int port = target.port();
+    target.close();
+    targets.remove(target.id());
+    ended.add(target.id());
     startTarget(port);
-    deployment.store().put("keyed.servers", ended.id(), "");
+    deployment.store().put("keyed.servers", target.id(), "");
   }
 
   /** Starts the callers. */
@@ -308,8 +311,21 @@
     isSoundLoad = false;
   }
 
-  StoreStandIn store() {
-    return deployment.store();
+  /** Copies the store, for {@link #returnStore}. */
+  StoreStandIn.Copy copyStore() {
+    return deployment.store().copy();
+  }
+
+  /** Lets the store return from an older copy; the targets write again what was lost soon after. */
+  void returnStore(StoreStandIn.Copy older) {
+    deployment.store().returnTo(older);
+    timers.schedule(this::announceAgain, REWRITE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void announceAgain() {
+    targets.forEach(
+        (id, target) -> deployment.store().put("keyed.servers", id, target.announcement(SERVICE)));
+    ended.forEach(id -> deployment.store().put("keyed.servers", id, ""));
   }
 
   /** Kills drawn entries and starts them again at once, at other ports. */
--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
@@ -36,18 +36,18 @@
     Random random = new Random(seed);
     int entries = Integer.getInteger("ibishub.entries", 12);
     try (DepartedCallerFleet fleet = new DepartedCallerFleet(seed, entries, TARGETS)) {
-      StoreStandIn.Copy older = fleet.store().copy();
+      StoreStandIn.Copy older = fleet.copyStore();
       fleet.startLoad();
       Thread.sleep(1_000 + random.nextInt(1_000));
       Stage guilty = new Stage("parts end targets", fleet);
       fleet.playGuilty(2, random.nextBoolean(), 2_000 + random.nextInt(1_000));
-      fleet.store().returnTo(older);
+      fleet.returnStore(older);
       fleet.pauseEntries(1 + random.nextInt(2), 1_000 + random.nextInt(1_000));
       fleet.playGuilty(2, random.nextBoolean(), 2_000 + random.nextInt(1_000));
       Verdict verdictOfGuilty = guilty.end();
       Stage restarts = new Stage("a quarter restarts", fleet);
       fleet.restartEntries(Math.max(1, entries / 4));
-      fleet.store().returnTo(older);
+      fleet.returnStore(older);
       fleet.playGuilty(1, false, 6_000);
       Verdict verdictOfRestarts = restarts.end();
       fleet.stopSoundLoad();
--- a/node/src/test/java/dev/ibishub/node/ObservedTarget.java
+++ b/node/src/test/java/dev/ibishub/node/ObservedTarget.java
@@ -14,9 +14,11 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
@@ -30,7 +32,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -61,10 +62,9 @@
    * Where a target reports to.
    *
    * @param onRun called when a run has ended
-   * @param onCrash called when the target ends under a request with a crashing part; told whether
-   *     it fell silent
+   * @param onCrash called when the target ends under a request with a crashing part
    */
-  record Listener(Consumer<Run> onRun, BiConsumer<ObservedTarget, Boolean> onCrash) {}
+  record Listener(Consumer<Run> onRun, Consumer<ObservedTarget> onCrash) {}
 
   private final String id;
   private final Listener listener;
@@ -145,7 +145,7 @@
       server.close();
       connections.close();
     }
-    listener.onCrash().accept(this, silently);
+    listener.onCrash().accept(this);
   }
 
   /** The requests of one connection, one after the other. */
@@ -158,6 +158,10 @@
       if (isSilent || path.length < 4) {
         return;
       }
+      if (!id.equals(request.headers().get("X-Expect-Instance"))) {
+        context.writeAndFlush(misdirected());
+        return;
+      }
       underWay = Optional.of(new Run(path[3], MonotonicClock.millis(), 0));
       String parts = request.headers().get("X-Prompt-Prefix", "");
       Optional<String> crashing = crashingParts.stream().filter(parts::contains).findAny();
@@ -178,6 +182,15 @@
       writeEvents(context, 1);
     }
 
+    private FullHttpResponse misdirected() {
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.MISDIRECTED_REQUEST, Unpooled.EMPTY_BUFFER);
+      response.headers().set("X-Not-Executed", "1");
+      HttpUtil.setContentLength(response, 0);
+      return response;
+    }
+
     private HttpResponse head(FullHttpRequest request) {
       HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
       head.headers()
