Take a copy of a target's limit for what it is

Cause: an entry dates a limit that another one passes on by its age, so each copy is later by its transit time, counted as newer, and was passed on. Among entries that are no relays of each other a limit so went round without end, and could not expire.

Evidence: CrashExchangeTest.limitOfTargetDoesNotGoRound, 8 entries, three of them linked without being relays, 2 ms a message: red before, over 100 messages (its bound: each of 25 links both ways, twice) and still under way.

SharedLimitsTest, TargetLimitsTest, ColdLimitFleetTest and LimitRunTest pass.

--- a/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
+++ b/core/src/main/java/dev/ibishub/core/serving/SharedLimits.java
@@ -122,7 +122,7 @@
    * @return whether it is newer than the one known so far
    */
   public synchronized boolean onPeerStatement(LimitStatement statement, long now) {
-    if (!isNewer(statement)) {
+    if (!isNewer(statement) || isCopy(statement)) {
       return false;
     }
     apply(statement, now).broadcastAt = statement.statedAt();
@@ -252,6 +252,17 @@
     return known == null || statement.statedAt() > known.latest.statedAt();
   }
 
+  /**
+   * Whether another entry passed on what is known. Each entry dates a statement later, by the
+   * transit time of its message; one that seemed newer for that would be passed on for ever.
+   */
+  private boolean isCopy(LimitStatement statement) {
+    Known known = byIncarnation.get(statement.targetIncarnation());
+    return known != null
+        && known.latest.requestsPerSecond().equals(statement.requestsPerSecond())
+        && statement.statedAt() - known.latest.statedAt() < REBROADCAST_MILLIS / 2;
+  }
+
   private Known apply(LimitStatement statement, long now) {
     Known known =
         byIncarnation.computeIfAbsent(statement.targetIncarnation(), any -> new Known(statement));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeModel.java
@@ -1,6 +1,8 @@
 package dev.ibishub.gateway.front;
 
 import dev.ibishub.core.entries.EntryRoster;
+import dev.ibishub.core.serving.LimitDivision;
+import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.crashes.CrashedRun;
 import dev.ibishub.core.serving.crashes.RequestIdentity;
 import dev.ibishub.core.serving.crashes.RequestTrait;
@@ -12,18 +14,22 @@
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
- * Entries that exchange evidence on crashes over links without a network. The first entries are the
- * relays of all others. Counts the messages with evidence.
+ * Entries that exchange evidence on crashes and limits of targets over links without a network. The
+ * first entries are the relays of all others. Counts these messages.
  */
 final class CrashExchangeModel implements AutoCloseable {
   private static final String SERVICE = "s";
@@ -41,12 +47,18 @@
   private static final class Entry {
     private final String host;
     private final CrashDetector crashes = new CrashDetector(this::broadcast);
+    private final TargetLimits limits;
     private final WireTransport transport;
     private final PeerMesh mesh;
     private final List<Side> sides = new ArrayList<>();
 
     Entry(int number) {
       host = "127.9.%d.%d".formatted(number / 250, 1 + number % 250);
+      limits =
+          new TargetLimits(
+              new SharedLimits(host, LimitDivision.amongFewHolders()),
+              this::broadcast,
+              new PrometheusRegistry());
       transport =
           WireTransport.create(new Identity("entry-" + number, "entry", "z", 1), Optional.empty());
       mesh =
@@ -59,7 +71,7 @@
                   (progress, sender) -> false,
                   crashes::onReport,
                   crashes::onDigest,
-                  limits -> false,
+                  limits::onReport,
                   loads -> {},
                   turn -> {},
                   epoch -> false));
@@ -111,7 +123,7 @@
       for (Frame frame = side.channel().readOutbound();
           frame != null;
           frame = side.channel().readOutbound()) {
-        if (frame.hasCrashReport()) {
+        if (frame.hasCrashReport() || frame.hasLimitReport()) {
           messages++;
           mostRuns = Math.max(mostRuns, frame.getCrashReport().getRunsCount());
           bytes += frame.getSerializedSize();
@@ -128,9 +140,21 @@
    * @return whether none is under way any more
    */
   boolean deliverAll(int most) {
+    return deliverAll(most, 0);
+  }
+
+  /**
+   * Delivers messages one by one until none is under way.
+   *
+   * @param most how many of them may be counted
+   * @param transitMillis how long each takes, milliseconds
+   * @return whether none is under way any more
+   */
+  boolean deliverAll(int most, long transitMillis) {
     entries.forEach(this::collect);
     while (!underWay.isEmpty() && messages <= most) {
       Delivery next = underWay.poll();
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(transitMillis));
       next.to().mesh.onFrame(next.over(), next.frame());
       collect(next.to());
     }
@@ -161,6 +185,14 @@
     crashes.onIncarnationEnded(target);
   }
 
+  /** Lets an entry hear from a target how many requests a second it takes. */
+  void limit(int number, String target, double requestsPerSecond) {
+    entries
+        .get(number)
+        .limits
+        .onResponse(target, OptionalDouble.of(requestsPerSecond), MonotonicClock.millis());
+  }
+
   /** Links two entries anew, as after a lost link. */
   void relink(int one, int other) {
     link(entries.get(one), entries.get(other));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -22,6 +22,10 @@
 /** Evidence on crashes between entries: who learns what, and how many messages that takes. */
 final class CrashExchangeTest {
   private static final int REPORTS = 10;
+
+  /** Over each of the 25 links both ways, and as often again. */
+  private static final int MOST_LIMITS = 100;
+
   private static final int MANY_RUNS = 300;
   private static final int MOST = 50_000;
   private static final List<String> PARTS = List.of("p1", "p2", "p3");
@@ -190,6 +194,18 @@
         .sum();
   }
 
+  // Guards against a limit that goes round for ever, and so never expires, as each entry dates it
+  // anew and takes it for a newer one.
+  @Test
+  void limitOfTargetDoesNotGoRound() {
+    List<List<Integer>> furtherLinks = List.of(List.of(5, 6), List.of(6, 7), List.of(7, 5));
+    try (CrashExchangeModel model = new CrashExchangeModel(8, furtherLinks)) {
+      model.limit(5, "t", 2);
+
+      assertThat(model.deliverAll(MOST_LIMITS, 2)).as("%d messages", model.messages()).isTrue();
+    }
+  }
+
   // Guards against findings that reach only the relays, as those take their sender for one of them.
   @Test
   void findingOfEachEntryReachesAll() {
