Allow the play's last answers to be told

The play demanded that no evidence at all is exchanged 5 s after all trouble. Traced in the entries' logs: part 5035 came with the last request that ended a target, at 15:09:30.4, and was answered for the first time at 15:09:37.6, which cleared it at all entries, by one finding. That is how a part is cleared, and allowed.

The check now is that no entry suspects anything new, which it did not ask before, and that each finding takes four messages for each entry at most.

--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -113,6 +113,15 @@
    */
   record Verdict(long departed, long wentOn, long lateSends, double worstShare) {}
 
+  /**
+   * The evidence on crashes that all entries together have exchanged.
+   *
+   * @param suspicions runs that were news to an entry
+   * @param found messages that an entry sent with findings of its own
+   * @param received messages with evidence that an entry received
+   */
+  record Evidence(double suspicions, double found, double received) {}
+
   /**
    * How often event loops were late, by the logs.
    *
@@ -431,9 +440,13 @@
     return counts;
   }
 
-  /** Returns how many messages with evidence the entries have received since they started. */
-  double evidenceReceived() throws InterruptedException {
-    return crashMetrics().getOrDefault("ibishub_frames_received_total{kind=\"crash_report\"}", 0.0);
+  /** Returns how much evidence the entries have exchanged since they started. */
+  Evidence evidence() throws InterruptedException {
+    Map<String, Double> metrics = crashMetrics();
+    return new Evidence(
+        metrics.getOrDefault("ibishub_crash_events_total{event=\"suspected\"}", 0.0),
+        metrics.getOrDefault("ibishub_crash_messages_total{cause=\"found\"}", 0.0),
+        metrics.getOrDefault("ibishub_frames_received_total{kind=\"crash_report\"}", 0.0));
   }
 
   /** Returns the sums over all entries of the metrics on the exchange of evidence. */
--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.core.entries.EntryRoster;
+import dev.ibishub.node.DepartedCallerFleet.Evidence;
 import dev.ibishub.node.DepartedCallerFleet.LoopDelays;
 import dev.ibishub.node.DepartedCallerFleet.Verdict;
 import dev.ibishub.platform.standins.StoreStandIn;
@@ -55,10 +57,10 @@
       Thread.sleep(QUIET_AFTER_MILLIS);
       Verdict verdictOfSettling = settling.end();
       Stage quiet = new Stage("quiet again", fleet);
-      double evidenceBefore = fleet.evidenceReceived();
+      Evidence before = fleet.evidence();
       Thread.sleep(3_000);
       Verdict verdictOfQuiet = quiet.end();
-      double evidence = fleet.evidenceReceived() - evidenceBefore;
+      Evidence after = fleet.evidence();
       System.out.println("seed " + seed + ": lines " + fleet.logLines());
 
       assertHolds(verdictOfGuilty);
@@ -66,7 +68,12 @@
       assertHolds(verdictOfSettling);
       assertHolds(verdictOfQuiet);
       assertThat(quiet.loopDelays().late()).as("late loops at the end").isZero();
-      assertThat(evidence).as("messages with evidence at the end").isZero();
+      assertThat(after.suspicions()).as("suspicions at the end").isEqualTo(before.suspicions());
+      // A part that the last crash left under suspicion may still be answered, and is told then.
+      assertThat(after.received() - before.received())
+          .as("messages with evidence at the end")
+          .isLessThanOrEqualTo(
+              (after.found() - before.found()) * entries * EntryRoster.RELAY_COUNT);
     }
   }
 
