--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -25,8 +25,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -151,17 +149,11 @@
   private void startEntry(String entry) throws IOException {
     int number = entries.indexOf(entry) + 1;
     String host = "127.0.1." + number;
-    int metricsPort = freePort(host);
+    int metricsPort = deployment.freshPort(host);
     metricsPages.put(entry, URI.create("http://%s:%d/metrics".formatted(host, metricsPort)));
     deployment.startEntry(entry, host, "127.0.1.1", ",\"metricsPort\":%d".formatted(metricsPort));
   }
 
-  private static int freePort(String host) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-      return socket.getLocalPort();
-    }
-  }
-
   private boolean isListed(String entry) {
     try {
       return deployment.resolve(entries.get(0)).contains(deployment.callerAddress(entry));
