Start the entry of each joining test only once the others have settled

Cause: an entry that starts within 0.8 s of all others has no part of the shared retries until it has settled (PeerMesh.knowsEntries), by design.

The wait is in startLater now, for all of these tests; their checks are the same.

--- a/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/NodeEndToEndTest.java
@@ -78,8 +78,12 @@
     startLater("entry-2", "127.0.1.2");
   }
 
-  /** Starts an entry that is not part of the system's first start. */
+  /**
+   * Starts an entry that is not part of the system's first start. Entries that start within moments
+   * of each other have no part of the retries until they settle, so it waits until one has.
+   */
   private void startLater(String entry, String host) throws IOException, InterruptedException {
+    deployment.await("others settled", () -> hasTakenLead("entry-1") || hasTakenLead("entry-2"));
     deployment.startEntry(entry, host, "127.0.1.1");
     deployment.await("entry listed", () -> isListed(entry));
   }
@@ -272,9 +276,6 @@
   // Guards against 503 at an entry that has no retry for a whole window after it joined the others.
   @Test
   void targetThatIsGoneCostsNoRequestAtEntryThatJoined() throws IOException, InterruptedException {
-    // Entries that start within moments of each other have no part of the retries until they
-    // settle.
-    deployment.await("others settled", () -> hasTakenLead("entry-1") || hasTakenLead("entry-2"));
     startLater("entry-3", "127.0.1.3");
     assertLostTargetCostsNoRequest("entry-3", "entry-3");
   }
