Play many reports on crashes at one entry

What callers saw: they had left, and their runs went on, as the entry's event loop was held by reports on crashes that it took in one after the other.

The play sends 100 reports, each with 64 runs of 32 parts, over four links to an entry process, beside callers that leave.

--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -4,6 +4,13 @@
 import dev.ibishub.platform.standins.Deployment;
 import dev.ibishub.platform.standins.StoreStandIn;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.Link;
+import dev.ibishub.wire.LinkListener;
+import dev.ibishub.wire.WireTransport;
+import dev.ibishub.wire.generated.BrokenRun;
+import dev.ibishub.wire.generated.CrashReport;
+import dev.ibishub.wire.generated.Frame;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -69,6 +76,9 @@
   private static final int REWRITE_MILLIS = 500;
   private static final int SOUND_PARTS = 200;
   private static final int PARTS_PER_REQUEST = 5;
+  private static final int RUNS_PER_REPORT = 64;
+  private static final int PARTS_PER_RUN = 32;
+  private static final int REPORTED_PARTS = 2_000;
   private static final long SECOND_MILLIS = 1_000;
   private static final Duration METRICS_TIMEOUT = Duration.ofSeconds(5);
   private static final Pattern LOOP_LATE =
@@ -89,6 +99,7 @@
   private final Queue<Pause> pauses = new ConcurrentLinkedQueue<>();
   private final Map<String, URI> metricsPages = new ConcurrentHashMap<>();
   private final HttpClient metricsClient = HttpClient.newHttpClient();
+  private final Map<String, WireTransport> transports = new ConcurrentHashMap<>();
   private final Set<String> down = ConcurrentHashMap.newKeySet();
   private final AtomicInteger numbers = new AtomicInteger();
   private volatile boolean isGuiltyLoad;
@@ -147,13 +158,16 @@
   }
 
   private void startEntry(String entry) throws IOException {
-    int number = entries.indexOf(entry) + 1;
-    String host = "127.0.1." + number;
+    String host = host(entry);
     int metricsPort = deployment.freshPort(host);
     metricsPages.put(entry, URI.create("http://%s:%d/metrics".formatted(host, metricsPort)));
     deployment.startEntry(entry, host, "127.0.1.1", ",\"metricsPort\":%d".formatted(metricsPort));
   }
 
+  private String host(String entry) {
+    return "127.0.1." + (entries.indexOf(entry) + 1);
+  }
+
   private boolean isListed(String entry) {
     try {
       return deployment.resolve(entries.get(0)).contains(deployment.callerAddress(entry));
@@ -307,6 +321,65 @@
     isGuiltyLoad = false;
   }
 
+  /**
+   * Sends reports on crashes to all entries, each with as many runs and parts as a message may
+   * hold, over links of other entries that this process opens. Returns once all were handed over.
+   *
+   * @param peers number of links to each entry
+   * @param messages number of reports over each
+   */
+  void reportCrashes(int peers, int messages) {
+    List<Link> links =
+        entries.stream()
+            .flatMap(entry -> IntStream.range(0, peers).mapToObj(peer -> linkTo(entry, peer)))
+            .toList();
+    IntStream.range(0, messages)
+        .mapToObj(this::crashReport)
+        .forEach(report -> links.forEach(link -> link.offer(report)));
+  }
+
+  private Link linkTo(String entry, int peer) {
+    return transports
+        .computeIfAbsent("peer-" + peer, DepartedCallerFleet::transport)
+        .connect(host(entry), deployment.linkPort(), new Ignoring())
+        .join();
+  }
+
+  private static WireTransport transport(String processId) {
+    return WireTransport.create(new Identity(processId, "entry", "z1", 1), Optional.empty());
+  }
+
+  private Frame crashReport(int number) {
+    CrashReport.Builder report = CrashReport.newBuilder();
+    for (int run = 0; run < RUNS_PER_REPORT; run++) {
+      report.addRuns(
+          BrokenRun.newBuilder()
+              .setRequest("run-%d-%d".formatted(number, run))
+              .setService(SERVICE)
+              .setWorkspace("w" + run % 5)
+              .addAllParts(reportedParts())
+              .setTargetLife("crashed-" + number)
+              .setSentAgeMillis(SECOND_MILLIS));
+    }
+    return Frame.newBuilder().setCrashReport(report.setId(number + 1L)).build();
+  }
+
+  private synchronized List<String> reportedParts() {
+    return random.ints(PARTS_PER_RUN, 0, REPORTED_PARTS).mapToObj(part -> "ee" + part).toList();
+  }
+
+  /** Takes no notice of what an entry sends. */
+  private static final class Ignoring implements LinkListener {
+    @Override
+    public void onOpen(Link link) {}
+
+    @Override
+    public void onFrame(Link link, Frame frame) {}
+
+    @Override
+    public void onClose(Link link) {}
+  }
+
   /** Lets only callers call that leave early. */
   void stopSoundLoad() {
     isSoundLoad = false;
@@ -466,6 +539,7 @@
   @Override
   public void close() {
     timers.shutdownNow();
+    transports.values().forEach(WireTransport::close);
     deployment.close();
     targets.values().forEach(ObservedTarget::close);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleetTest.java
@@ -77,6 +77,23 @@
     }
   }
 
+  // Guards against an entry that notices late that callers leave, as reports on crashes hold its
+  // event loop.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void runsOfCallersThatLeftEndWhileManyCrashesAreReported(long seed)
+      throws IOException, InterruptedException {
+    try (DepartedCallerFleet fleet = new DepartedCallerFleet(seed, 1, 4)) {
+      fleet.startLoad();
+      Thread.sleep(1_000);
+      Stage stage = new Stage("many reports", fleet);
+      fleet.reportCrashes(4, 100);
+      Thread.sleep(6_000);
+
+      assertHolds(stage.end());
+    }
+  }
+
   private static void assertHolds(Verdict verdict) {
     assertThat(verdict.worstShare()).as("%s", verdict).isLessThanOrEqualTo(ALLOWED_SHARE);
     assertThat(verdict.lateSends()).as("%s", verdict).isLessThanOrEqualTo(ALLOWED_SENDS);
