Read one buffer of each link at a time

Cause: a channel reads up to 16 buffers of 64 KiB before the loop turns to other channels, so four links on which much arrives brought 4 MiB to decode at once. loop.held named the decoder of a link.

Change: links read one buffer in each turn of the loop.

--- a/wire/src/main/java/dev/ibishub/wire/WireTransport.java
+++ b/wire/src/main/java/dev/ibishub/wire/WireTransport.java
@@ -5,11 +5,13 @@
 import dev.ibishub.wire.generated.Frame;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -47,6 +49,13 @@
   /** A longer frame closes the link, so that no peer can exhaust the memory of this process. */
   static final int MAXIMUM_FRAME_BYTES = 16 << 20;
 
+  /**
+   * An event loop reads one buffer of each link in turn, so that a link on which much arrives does
+   * not keep it from its other connections.
+   */
+  private static final RecvByteBufAllocator ONE_BUFFER_PER_READ =
+      new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
+
   private static final int MAXIMUM_CONSOLIDATED_FLUSHES = 64;
   private static final int LENGTH_FIELD_BYTES = 4;
   private static final int IO_THREADS = 4;
@@ -97,6 +106,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ONE_BUFFER_PER_READ)
             .childHandler(pipeline(false, listener, cause -> {}));
     CompletableFuture<Integer> boundPort = new CompletableFuture<>();
     var future = bootstrap.bind(new InetSocketAddress(host, port));
@@ -129,6 +139,7 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, ONE_BUFFER_PER_READ)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(pipeline(true, completing, onFailure))
         .connect(new InetSocketAddress(host, port))
