Bound messages with evidence by their traits

What callers saw: nothing by itself; single reports held the event loop that serves them for more than 50 ms.

Cause: a message held 64 items, of which a run has up to 33 traits, and the work of merging grows with those: 2,112 of them in one step.

Change: a message holds 256 traits, or one item that has more. Receivers need no change; a report of an older entry may still be larger.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashFindings.java
@@ -1,7 +1,7 @@
 package dev.ibishub.core.serving.crashes;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -48,23 +48,44 @@
     return new CrashFindings(runs, cleared, List.of(), decided);
   }
 
-  /** Returns the same findings in order, in pages of a limited number of items. */
-  public List<CrashFindings> pages(int maximumItems) {
-    List<CrashFindings> items =
-        Stream.of(
-                runs.stream().map(run -> of(List.of(run), List.of(), List.of())),
-                cleared.stream().map(each -> of(List.of(), List.of(each), List.of())),
-                probes.stream()
-                    .map(each -> new CrashFindings(List.of(), List.of(), List.of(each), List.of())),
-                quarantines.stream().map(each -> of(List.of(), List.of(), List.of(each))))
-            .flatMap(each -> each)
-            .toList();
-    return IntStream.iterate(0, from -> from < items.size(), from -> from + maximumItems)
-        .mapToObj(from -> items.subList(from, Math.min(items.size(), from + maximumItems)))
-        .map(CrashFindings::joined)
+  /**
+   * Returns the same findings in order, in pages that take a limited time to merge.
+   *
+   * @param maximumTraits the most traits on a page; a single item may have more
+   */
+  public List<CrashFindings> pages(int maximumTraits) {
+    List<List<CrashFindings>> pages = new ArrayList<>();
+    int room = 0;
+    for (CrashFindings item : items()) {
+      if (item.traits() > room) {
+        pages.add(new ArrayList<>());
+        room = maximumTraits;
+      }
+      pages.get(pages.size() - 1).add(item);
+      room -= item.traits();
+    }
+    return pages.stream().map(CrashFindings::joined).toList();
+  }
+
+  private List<CrashFindings> items() {
+    return Stream.of(
+            runs.stream().map(run -> of(List.of(run), List.of(), List.of())),
+            cleared.stream().map(each -> of(List.of(), List.of(each), List.of())),
+            probes.stream()
+                .map(each -> new CrashFindings(List.of(), List.of(), List.of(each), List.of())),
+            quarantines.stream().map(each -> of(List.of(), List.of(), List.of(each))))
+        .flatMap(each -> each)
         .toList();
   }
 
+  /** Returns the number of traits of all items, each time that they occur. */
+  private int traits() {
+    return runs.stream().mapToInt(run -> 1 + run.request().partIds().size()).sum()
+        + cleared.size()
+        + probes.size()
+        + quarantines.stream().mapToInt(each -> each.traits().size()).sum();
+  }
+
   private static CrashFindings joined(List<CrashFindings> all) {
     return new CrashFindings(
         all.stream().flatMap(each -> each.runs.stream()).toList(),
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -68,8 +68,8 @@
    */
   private static final int MAXIMUM_HOPS = 3;
 
-  /** Most runs, clearings, probes and quarantines in a message, so that none holds a loop long. */
-  private static final int MAXIMUM_ITEMS = 64;
+  /** Most traits of runs and of other findings in a message, so that none holds a loop long. */
+  private static final int MAXIMUM_TRAITS = 256;
 
   /** Most log lines a second on findings, and as many on quarantines. */
   private static final int MAXIMUM_LINES_PER_SECOND = 20;
@@ -363,7 +363,7 @@
     Set<Integer> differing = quarantine.digest().differing(CrashMessages.digest(digest));
     CrashFindings missing = quarantine.findings(differing);
     missing
-        .pages(MAXIMUM_ITEMS)
+        .pages(MAXIMUM_TRAITS)
         .forEach(page -> intake.offer(() -> sendMissing(page, sender), NO_BYTES));
     intake.offer(() -> sender.reply().accept(CrashMessages.digestEndFrame()), NO_BYTES);
   }
@@ -376,7 +376,7 @@
 
   private void broadcast(CrashFindings findings, long now) {
     findings
-        .pages(MAXIMUM_ITEMS)
+        .pages(MAXIMUM_TRAITS)
         .forEach(
             page -> {
               long id = ThreadLocalRandom.current().nextLong();
