Judge parts once for the answers of 0.1 s

What callers saw: nothing by itself; entries used processor time for as long as suspects were kept, ten minutes, with no message and no crash any more.

Cause: as long as answers may still decide on a part, each answer let the next request judge all suspects.

Change: after a judgement, the next one by answers alone comes 0.1 s later, which is the time that a decision waits for reports already. Until then the rule that one request with a suspected part is under way at a time holds, as before.

Evidence: RequestQuarantineTest.answersAreJudgedTogether, red before.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -49,8 +49,9 @@
   static final long PROBE_MILLIS = 2_000;
 
   /**
-   * Time from a report of a crash to the decision on parts, milliseconds. Each entry reports what
-   * it had at the target, and the run of the guilty request may be in the last report.
+   * Time from a report of a crash to the decision on parts, and between two decisions,
+   * milliseconds. Each entry reports what it had at the target, and the run of the guilty request
+   * may be in the last report.
    */
   static final long DECISION_DELAY_MILLIS = 100;
 
@@ -448,9 +449,8 @@
     }
     if (decided.size() < MAXIMUM_DECISIONS) {
       judgedAnswers = evidence.totalAnswers();
-      if (!evidence.mayAnswersDecide(this::isUnexplained)) {
-        decisionDueAt = Long.MAX_VALUE;
-      }
+      boolean mayAnswersDecide = evidence.mayAnswersDecide(this::isUnexplained);
+      decisionDueAt = mayAnswersDecide ? now + DECISION_DELAY_MILLIS : Long.MAX_VALUE;
     }
     return CrashFindings.of(List.of(), lifted, decided);
   }
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -193,6 +193,25 @@
     assertThat(permission(withParts("w", "4", "part"), 5_000)).isEqualTo(SendPermission.ALLOWED);
   }
 
+  // Guards against an entry that judges all suspects with each request, as long as each answer may
+  // still decide on one of them.
+  @Test
+  void answersAreJudgedTogether() {
+    IntStream.rangeClosed(1, 3)
+        .forEach(
+            number -> {
+              long at = 1_000L * number;
+              quarantine.onBroken(
+                  new CrashedRun(withParts("w", "" + number, "part"), "t" + number, at, at + 100));
+              quarantine.onCrashed("t" + number, at + 100);
+            });
+    quarantine.decide(3_300);
+    answerOthers(3_301);
+
+    assertThat(quarantine.decide(3_399).quarantines()).isEmpty();
+    assertThat(quarantine.decide(3_400).quarantines()).hasSize(1);
+  }
+
   // Guards against a quarantine of whatever is sent while a whole service answers nothing.
   @Test
   void noPartIsQuarantinedWhileNothingIsAnswered() {
