Compare runs by identity before they are compared by content

What callers saw: nothing by itself; an entry that answered a digest walked each run once for each of its traits, and hashed all its parts each time.

Change: objects that were seen are dropped first. The result is the same; a run that is kept as two objects is still compared by content.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/CrashEvidence.java
@@ -1,7 +1,9 @@
 package dev.ibishub.core.serving.crashes;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -217,9 +219,12 @@
 
   /** Returns the runs of the suspected traits that match, each once. */
   List<CrashedRun> runsOfTraitsThat(Predicate<RequestTrait> matches) {
+    // A run is mostly the same object under all of its traits, which is cheaper to compare.
+    Set<CrashedRun> objects = Collections.newSetFromMap(new IdentityHashMap<>());
     return suspects.entrySet().stream()
         .filter(suspect -> matches.test(suspect.getKey()))
         .flatMap(suspect -> suspect.getValue().runs().stream())
+        .filter(objects::add)
         .distinct()
         .toList();
   }
