Count only runs at a crashed target that were sent before its end

Cause: a run counted whenever it broke off, however long after the end. A run that is sent after the end can't have caused it. Class of fault: evidence that confirms itself, as each such report made the others count theirs.

Change: a run counts if it broke off no earlier than 0.5 s before the end, as before, and was sent no later than 0.5 s after it, or than the end was found where its time is unknown. A crash that this entry finds by itself counts anew, one that others report doesn't. The end of unknown time has a method and a name of its own; the tests that used it pass the time at which the run broke off.

Evidence: RequestQuarantineTest.runThatIsSentAfterItsTargetEndedIsNoCrash, red on the code before (1 for 0).

--- a/bench/src/main/java/dev/ibishub/bench/crashes/BlamePolicy.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/BlamePolicy.java
@@ -65,7 +65,7 @@
         inFlight.forEach(quarantine::onBroken);
         inFlight.stream()
             .findFirst()
-            .ifPresent(run -> quarantine.onCrashed(run.targetIncarnation()));
+            .ifPresent(run -> quarantine.onEnded(run.targetIncarnation(), run.brokenAt()));
       }
 
       @Override
--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartFleet.java
@@ -492,7 +492,7 @@
         () ->
             entries.stream()
                 .filter(entry -> entry.isUp)
-                .forEach(entry -> entry.broadcast(entry.policy.onSuccessor(ended))));
+                .forEach(entry -> entry.broadcast(entry.policy.onSuccessor(ended, now()))));
   }
 
   private void onBroken(String ended, List<Run> broken) {
--- a/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
+++ b/bench/src/main/java/dev/ibishub/bench/crashes/PartPolicy.java
@@ -33,7 +33,7 @@
   CrashFindings onAbandoned(CrashedRun run);
 
   /** Handles the announcement of the successor of a target that ended. */
-  CrashFindings onSuccessor(String targetIncarnation);
+  CrashFindings onSuccessor(String targetIncarnation, long now);
 
   CrashFindings onAnswerBegun(String service, Set<RequestTrait> parts, long now);
 
@@ -116,8 +116,8 @@
     }
 
     @Override
-    public CrashFindings onSuccessor(String targetIncarnation) {
-      return quarantine.onCrashed(targetIncarnation);
+    public CrashFindings onSuccessor(String targetIncarnation, long now) {
+      return quarantine.onEnded(targetIncarnation, now);
     }
 
     @Override
@@ -203,7 +203,7 @@
     }
 
     @Override
-    public CrashFindings onSuccessor(String targetIncarnation) {
+    public CrashFindings onSuccessor(String targetIncarnation, long now) {
       return CrashFindings.NONE;
     }
 
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -29,10 +29,10 @@
  * kept back. One that has some of them is sent, and its answer shows that those are sound.
  *
  * <pre>{@code
- * quarantine.onBroken(run);                      // its connection broke
- * quarantine.onCrashed(run.targetIncarnation()); // the target turns out to have crashed
- * quarantine.onAnswerBegun(other, now);          // clears the parts that both have in common
- * quarantine.permission(request, false, now);    // after more crashes: QUARANTINED
+ * quarantine.onBroken(run);                         // its connection broke
+ * quarantine.onEnded(run.targetIncarnation(), now); // the target turns out to have crashed
+ * quarantine.onAnswerBegun(service, parts, now);    // clears the parts that both have in common
+ * quarantine.permission(request, false, now);       // after more crashes: QUARANTINED
  * }</pre>
  */
 public final class RequestQuarantine {
@@ -94,13 +94,13 @@
   }
 
   /**
-   * Records that a target crashed at an unknown time.
+   * Records that a target turned out to have ended without notice, at an unknown time.
    *
    * @param targetIncarnation the target incarnation that ended
    * @return what to tell the other entries
    */
-  public synchronized CrashFindings onCrashed(String targetIncarnation) {
-    return addAll(unconfirmed.onCrashed(targetIncarnation));
+  public synchronized CrashFindings onEnded(String targetIncarnation, long now) {
+    return addAll(unconfirmed.onEnded(targetIncarnation, now));
   }
 
   /**
@@ -152,7 +152,7 @@
     CrashFindings found = addAll(report.runs());
     List<CrashedRun> ownRuns =
         crashTimes(report.runs()).entrySet().stream()
-            .flatMap(crash -> unconfirmed.onCrashed(crash.getKey(), crash.getValue()).stream())
+            .flatMap(crash -> unconfirmed.onReported(crash.getKey(), crash.getValue()).stream())
             .toList();
     CrashFindings own = addAll(ownRuns);
     List<Quarantine> merged =
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/ManySuspectsTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/ManySuspectsTest.java
@@ -42,7 +42,7 @@
   private void crash(List<CrashedRun> runs) {
     runs.forEach(quarantine::onBroken);
     CrashedRun last = runs.get(runs.size() - 1);
-    quarantine.onCrashed(last.targetIncarnation());
+    quarantine.onEnded(last.targetIncarnation(), last.brokenAt());
     answerOthers(last.brokenAt() + 100);
   }
 
@@ -103,7 +103,7 @@
                     SERVICE, request("o", List.of("a")).parts(), brokenAt(2) + 200);
               }
               quarantine.onBroken(run(number, 0, brokenAt(number) - 300, List.of("a", GUILTY)));
-              quarantine.onCrashed("t" + number);
+              quarantine.onEnded("t" + number, brokenAt(number));
             });
     answerOthers(brokenAt(3) + 100);
 
--- a/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
+++ b/core/src/test/java/dev/ibishub/core/serving/crashes/RequestQuarantineTest.java
@@ -38,7 +38,7 @@
 
   private void crash(RequestIdentity request, String incarnation, long sentAt, long brokenAt) {
     quarantine.onBroken(run(request, incarnation, sentAt, brokenAt));
-    quarantine.onCrashed(incarnation);
+    quarantine.onEnded(incarnation, brokenAt);
   }
 
   @Test
@@ -98,12 +98,40 @@
 
   @Test
   void crashKnownBeforeBrokenRunCounts() {
-    quarantine.onCrashed("a");
+    quarantine.onEnded("a", 5);
 
     assertThat(quarantine.onBroken(run(GUILTY, "a", 0, 10)).runs()).hasSize(1);
     assertThat(quarantine.crashes(GUILTY)).isEqualTo(1);
   }
 
+  // Guards against crashes counted without end, and told to all entries, as a target that is taken
+  // for ended is alive and callers leave it.
+  @Test
+  void runThatIsSentAfterItsTargetEndedIsNoCrash() {
+    quarantine.onCrashed("a", 1_000);
+    quarantine.onBroken(run(INNOCENT, "a", 2_000, 3_000));
+
+    assertThat(quarantine.crashes(INNOCENT)).isZero();
+  }
+
+  @Test
+  void runThatIsSentAfterItsTargetWasFoundEndedIsNoCrash() {
+    quarantine.onEnded("a", 1_000);
+    quarantine.onBroken(run(INNOCENT, "a", 2_000, 3_000));
+
+    assertThat(quarantine.crashes(INNOCENT)).isZero();
+  }
+
+  @Test
+  void crashOfTargetThatWasTakenForEndedCounts() {
+    quarantine.onEnded("a", 1_000);
+    quarantine.onBroken(run(GUILTY, "a", 2_000, 3_000));
+    quarantine.onCrashed("a", 3_000);
+    quarantine.onBroken(run(GUILTY, "a", 2_500, 3_000));
+
+    assertThat(quarantine.crashes(GUILTY)).isEqualTo(1);
+  }
+
   @Test
   void crashReportedByTwoEntriesCountsOnce() {
     crash(GUILTY, "a", 0, 10);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CrashDetector.java
@@ -270,7 +270,7 @@
    * dev.ibishub.gateway.model.Target#incarnation}.
    */
   public void onIncarnationEnded(String targetIncarnation) {
-    publish(quarantine.onCrashed(targetIncarnation));
+    publish(quarantine.onEnded(targetIncarnation, MonotonicClock.millis()));
   }
 
   /** Takes in a report of another entry, when its turn comes. */
