--- a/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/CrashExchangeTest.java
@@ -153,8 +153,7 @@
   }
 
   // Guards against two parts of a fleet that each keep to themselves what they found while they
-  // were
-  // cut from each other.
+  // were cut from each other.
   @Test
   void linkBetweenPartsOfFleetBringsWhatEachLacks() {
     try (CrashExchangeModel model = new CrashExchangeModel(8, List.of())) {
