Decide on one quarantine in a step

Change: crashes of a part are counted once, the parts are put in the order in which they may be blamed, and only the first ones are compared with all others. A step adds one quarantine; what is left follows with the next request or tick, at once. That none is blamed twice without an end is kept by the quarantines: what is quarantined already is no decision.

RequestQuarantineTest and ManySuspectsTest pass.

--- a/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/PartBlame.java
@@ -14,6 +14,13 @@
  * @param counts tells which of those runs no quarantine explains yet
  */
 record PartBlame(CrashEvidence evidence, Predicate<CrashedRun> counts) {
+  /**
+   * A part that may be guilty.
+   *
+   * @param crashes how many crashes it may explain
+   */
+  private record Candidate(RequestTrait part, long crashes) {}
+
   /** Returns the parts to quarantine next; empty if the crashes don't suffice for any. */
   Optional<Set<RequestTrait>> next() {
     return guiltiestPart().map(this::withUndecided);
@@ -25,13 +32,22 @@
    * round: the crashes under the narrower one suffice to explain it.
    */
   private Optional<RequestTrait> guiltiestPart() {
-    List<RequestTrait> candidates =
-        evidence.suspectedParts().filter(part -> evidence.isGuilty(part, counts)).toList();
+    List<Candidate> candidates =
+        evidence
+            .suspectedParts()
+            .filter(part -> evidence.isGuilty(part, counts))
+            .map(part -> new Candidate(part, evidence.crashes(part, counts)))
+            .toList();
+    // Few candidates are compared with all others, as the first that is not left out is the one.
     return candidates.stream()
-        .filter(part -> candidates.stream().noneMatch(other -> isNarrower(other, part)))
-        .max(
-            Comparator.<RequestTrait>comparingLong(part -> evidence.crashes(part, counts))
-                .thenComparing(evidence::answeredAt, Comparator.reverseOrder()));
+        .sorted(
+            Comparator.comparingLong(Candidate::crashes)
+                .reversed()
+                .thenComparing(each -> evidence.answeredAt(each.part())))
+        .filter(
+            each -> candidates.stream().noneMatch(other -> isNarrower(other.part(), each.part())))
+        .map(Candidate::part)
+        .findFirst();
   }
 
   private boolean isNarrower(RequestTrait narrow, RequestTrait wide) {
--- a/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
+++ b/core/src/main/java/dev/ibishub/core/serving/crashes/RequestQuarantine.java
@@ -58,9 +58,6 @@
   /** Maximum number of quarantines, not below that of suspected traits; the oldest are evicted. */
   static final int MAXIMUM_QUARANTINES = CrashEvidence.MAXIMUM_KEPT;
 
-  /** Most quarantines that are decided in one step; further ones follow with the next. */
-  private static final int MAXIMUM_DECISIONS = 4;
-
   private static final long NOT_JUDGED = -1;
 
   private final UnconfirmedRuns unconfirmed = new UnconfirmedRuns();
@@ -424,8 +421,8 @@
   }
 
   /**
-   * Judges the parts by the evidence, if there is any that has not been judged. To be called before
-   * {@link #permission}.
+   * Judges the parts by the evidence, if there is any that has not been judged, and adds one
+   * quarantine at most. To be called before {@link #permission}.
    *
    * @return what to tell the other entries
    */
@@ -434,25 +431,21 @@
       return CrashFindings.NONE;
     }
     expire(now);
-    List<Quarantine> decided = new ArrayList<>();
-    List<Clearing> lifted = new ArrayList<>();
-    // Each quarantine explains crashes, which then no longer count against other parts.
-    PartBlame blame = new PartBlame(evidence, this::isUnexplained);
-    Set<Set<RequestTrait>> blamed = new HashSet<>();
-    Optional<Set<RequestTrait>> guilty = blame.next();
-    // Whatever the evidence, none is blamed twice.
-    while (guilty.isPresent() && decided.size() < MAXIMUM_DECISIONS && blamed.add(guilty.get())) {
-      Quarantine quarantine = quarantine(guilty.get(), evidence.runsWith(guilty.get()));
-      decided.add(quarantine);
-      lifted.addAll(liftExplainedBy(quarantine, now));
-      guilty = blame.next();
-    }
-    if (decided.size() < MAXIMUM_DECISIONS) {
-      judgedAnswers = evidence.totalAnswers();
-      boolean mayAnswersDecide = evidence.mayAnswersDecide(this::isUnexplained);
-      decisionDueAt = mayAnswersDecide ? now + DECISION_DELAY_MILLIS : Long.MAX_VALUE;
+    // A quarantine explains crashes, which then no longer count against other parts. The next one
+    // follows in a step of its own.
+    Optional<Quarantine> decided =
+        new PartBlame(evidence, this::isUnexplained)
+            .next()
+            .filter(guilty -> !quarantines.containsKey(guilty))
+            .map(guilty -> quarantine(guilty, evidence.runsWith(guilty)));
+    if (decided.isPresent()) {
+      List<Clearing> lifted = liftExplainedBy(decided.get(), now);
+      return CrashFindings.of(List.of(), lifted, List.of(decided.get()));
     }
-    return CrashFindings.of(List.of(), lifted, decided);
+    judgedAnswers = evidence.totalAnswers();
+    boolean mayAnswersDecide = evidence.mayAnswersDecide(this::isUnexplained);
+    decisionDueAt = mayAnswersDecide ? now + DECISION_DELAY_MILLIS : Long.MAX_VALUE;
+    return CrashFindings.NONE;
   }
 
   /** Forgets old evidence; to be called now and then while there is no new one. */
