Take only short frames, from few connections, before a link's handshake

Callers saw: while strangers at the port for links send most of a frame of 1 MiB, an entry answers seconds late.

Cause: a frame of up to 16 MiB was collected for whoever had connected, and nothing bounded such connections or their sum. Netty reads into direct buffers, of which a process has as many bytes as heap; once they are used up, the event loop sleeps in Bits.reserveMemory for each read.

Evidence: 300 connections with most of such a frame at an entry with 28 MB: five times loop.held in Bits.reserveMemory, loop 6.7 s late. The agent logged nothing, as errors of links were logged at FINE; they are warnings now.

Fix: until the handshake is complete a frame may have 4 KiB, a connection has 2 s for it, and of more than 64 such connections the oldest is closed. Long incomplete frames of peers share a quarter of the heap. Settings maximumHandshakes and linkMemoryBytes, metric ibishub_links_rejected_total.

WireTransportTest.disconnectsStrangerThatSendsLongFrame and oldestOfManyStrangersIsDisconnectedAndPeersAreLinked are green.

--- a/node/src/main/java/dev/ibishub/node/AgentNode.java
+++ b/node/src/main/java/dev/ibishub/node/AgentNode.java
@@ -9,6 +9,7 @@
 import dev.ibishub.runtime.ProcessSignals;
 import dev.ibishub.settings.NodeSettings;
 import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.LinkLimits;
 import dev.ibishub.wire.WireTransport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -68,7 +69,8 @@
                 "agent",
                 settings.zone(),
                 ThreadLocalRandom.current().nextLong()),
-            group);
+            group,
+            new LinkLimits(settings.maximumHandshakes(), settings.linkMemoryBytes()));
     transport.listen(settings.host(), settings.linkPort(), node.agent).join();
     node.loop.execute(node::poll);
     logger.atInfo().log(
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -41,6 +41,7 @@
 import dev.ibishub.runtime.ProcessSignals;
 import dev.ibishub.settings.NodeSettings;
 import dev.ibishub.wire.Identity;
+import dev.ibishub.wire.LinkLimits;
 import dev.ibishub.wire.WireTransport;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LoadReports;
@@ -157,7 +158,7 @@
             new StoreTopics.Listener(
                 this::broadcast, host -> addHosts(List.of(host)), this::passTurn),
             MonotonicClock::millis);
-    transport = WireTransport.createOnGroup(identity(settings), group);
+    transport = newTransport();
     mesh = newMesh();
     experts =
         new ExpertController(
@@ -182,6 +183,16 @@
         settings.processId(), "entry", settings.zone(), ThreadLocalRandom.current().nextLong());
   }
 
+  private WireTransport newTransport() {
+    WireTransport created =
+        WireTransport.createOnGroup(
+            identity(settings),
+            group,
+            new LinkLimits(settings.maximumHandshakes(), settings.linkMemoryBytes()));
+    NodeMetrics.addRejectedLinks(PrometheusRegistry.defaultRegistry, created::rejectedConnections);
+    return created;
+  }
+
   private CrashDetector newCrashDetector(NodeSettings settings) {
     CrashDetector detector =
         new CrashDetector(
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -5,6 +5,7 @@
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.wire.generated.Frame;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -93,6 +94,19 @@
             .register(registry);
   }
 
+  /**
+   * Adds the metric of connections that were no links.
+   *
+   * @param rejectedLinks returns how many connections were closed before their handshake
+   */
+  static void addRejectedLinks(PrometheusRegistry registry, LongSupplier rejectedLinks) {
+    CounterWithCallback.builder()
+        .name("ibishub_links_rejected_total")
+        .help("Connections to the port for links that were closed before their handshake.")
+        .callback(callback -> callback.call((double) rejectedLinks.getAsLong()))
+        .register(registry);
+  }
+
   /** Counts a message from another entry. */
   void onFrame(Frame frame) {
     frames.labelValues(frame.getBodyCase().name().toLowerCase(Locale.ROOT)).inc();
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -40,6 +40,10 @@
  * @param coldSlack the requests that one second may have beyond that
  * @param bodyMemoryBytes the memory that the bodies of callers' requests may take together, bytes;
  *     0 for half of the heap
+ * @param maximumHandshakes the most connections to the port for links whose handshake is not
+ *     complete
+ * @param linkMemoryBytes the memory for incomplete frames of links, bytes; 0 for a quarter of the
+ *     heap
  */
 public record NodeSettings(
     String processId,
@@ -65,7 +69,9 @@
     boolean isFirstStart,
     double coldOverrun,
     double coldSlack,
-    long bodyMemoryBytes) {
+    long bodyMemoryBytes,
+    int maximumHandshakes,
+    int linkMemoryBytes) {
 
   static final ObjectSchema SCHEMA =
       ObjectSchema.of(
@@ -159,20 +165,36 @@
                   0,
                   1 << 30,
                   "Memory for the bodies of all callers' requests; 0 for half of the heap.")
+              .defaultingTo(0L),
+          Key.integer(
+                  "maximumHandshakes",
+                  "",
+                  1,
+                  1_000_000,
+                  "Most connections to the port for links whose handshake is not complete.")
+              .defaultingTo(64L),
+          Key.integer(
+                  "linkMemoryBytes",
+                  "bytes",
+                  0,
+                  1 << 30,
+                  "Memory for long incomplete frames of links; 0 for a quarter of the heap.")
               .defaultingTo(0L));
 
   private static final Map<String, Function<NodeSettings, Object>> FIXED_KEYS =
-      Map.of(
-          "processId", NodeSettings::processId,
-          "zone", NodeSettings::zone,
-          "host", NodeSettings::host,
-          "linkPort", NodeSettings::linkPort,
-          "callerAddress", NodeSettings::callerAddress,
-          "readinessAddress", NodeSettings::readinessAddress,
-          "directoryAddress", NodeSettings::directoryAddress,
-          "storeAddress", NodeSettings::storeAddress,
-          "engineAddress", NodeSettings::engineAddress,
-          "metricsPort", NodeSettings::metricsPort);
+      Map.ofEntries(
+          Map.entry("processId", NodeSettings::processId),
+          Map.entry("zone", NodeSettings::zone),
+          Map.entry("host", NodeSettings::host),
+          Map.entry("linkPort", NodeSettings::linkPort),
+          Map.entry("callerAddress", NodeSettings::callerAddress),
+          Map.entry("readinessAddress", NodeSettings::readinessAddress),
+          Map.entry("directoryAddress", NodeSettings::directoryAddress),
+          Map.entry("storeAddress", NodeSettings::storeAddress),
+          Map.entry("engineAddress", NodeSettings::engineAddress),
+          Map.entry("metricsPort", NodeSettings::metricsPort),
+          Map.entry("maximumHandshakes", NodeSettings::maximumHandshakes),
+          Map.entry("linkMemoryBytes", NodeSettings::linkMemoryBytes));
 
   /** Makes a defensive copy of the seeds. */
   public NodeSettings {
@@ -237,7 +259,9 @@
         isFirstStart,
         coldOverrun,
         coldSlack,
-        bodyMemoryBytes);
+        bodyMemoryBytes,
+        other.maximumHandshakes,
+        other.linkMemoryBytes);
   }
 
   private static void check(Section root, List<Fault> faults) {
@@ -279,6 +303,8 @@
         root.flag("firstStart"),
         root.number("coldOverrun"),
         root.number("coldSlack"),
-        root.integer("bodyMemoryBytes"));
+        root.integer("bodyMemoryBytes"),
+        root.integer("maximumHandshakes"),
+        root.integer("linkMemoryBytes"));
   }
 }
--- a/wire/src/main/java/dev/ibishub/wire/FrameHandler.java
+++ b/wire/src/main/java/dev/ibishub/wire/FrameHandler.java
@@ -13,6 +13,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import java.io.IOException;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 
 /** Performs the handshake and heartbeat of one connection and delivers its other frames. */
 final class FrameHandler extends SimpleChannelInboundHandler<Frame> {
@@ -21,6 +22,7 @@
   private final Identity identity;
   private final LinkListener listener;
   private final boolean initiator;
+  private final Runnable onHandshake;
   private final Consumer<Throwable> onHandshakeFailure;
   private Link link;
 
@@ -28,10 +30,12 @@
       Identity identity,
       LinkListener listener,
       boolean initiator,
+      Runnable onHandshake,
       Consumer<Throwable> onHandshakeFailure) {
     this.identity = identity;
     this.listener = listener;
     this.initiator = initiator;
+    this.onHandshake = onHandshake;
     this.onHandshakeFailure = onHandshakeFailure;
   }
 
@@ -79,7 +83,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    logger.atFine().withCause(cause).log("event=link.failed peer=%s", link);
+    // Resets and malformed frames are usual; an error is a fault in this process.
+    logger.at(cause instanceof Error ? Level.WARNING : Level.FINE).withCause(cause).log(
+        "event=link.failed peer=%s", link);
     context.close();
   }
 
@@ -123,6 +129,7 @@
 
   private void openLink(ChannelHandlerContext context, Link.Peer peer) {
     link = Link.over(context.channel(), peer);
+    onHandshake.run();
     listener.onOpen(link);
   }
 
--- a/wire/src/main/java/dev/ibishub/wire/WireTransport.java
+++ b/wire/src/main/java/dev/ibishub/wire/WireTransport.java
@@ -15,7 +15,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
@@ -26,6 +25,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 /**
@@ -63,11 +63,17 @@
   private final Identity identity;
   private final Optional<TlsContexts> tls;
   private final EventLoopGroup group;
+  private final AtomicLong rejected = new AtomicLong();
+  private final FrameMemory incompleteFrames;
+  private final Strangers strangers;
 
-  private WireTransport(Identity identity, Optional<TlsContexts> tls, EventLoopGroup group) {
+  private WireTransport(
+      Identity identity, Optional<TlsContexts> tls, EventLoopGroup group, LinkLimits limits) {
     this.identity = identity;
     this.tls = tls;
     this.group = group;
+    this.incompleteFrames = new FrameMemory(limits.incompleteFrameBytes());
+    this.strangers = new Strangers(limits.maximumHandshakes(), rejected);
   }
 
   /**
@@ -78,7 +84,10 @@
    */
   public static WireTransport create(Identity identity, Optional<TlsContexts> tls) {
     return new WireTransport(
-        identity, tls, new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory()));
+        identity,
+        tls,
+        new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory()),
+        LinkLimits.defaults());
   }
 
   /**
@@ -86,9 +95,16 @@
    *
    * @param identity identity that this process presents to its peers
    * @param group the I/O threads; shut down when the transport is closed
+   * @param limits what connections to the port for links may take
    */
-  public static WireTransport createOnGroup(Identity identity, EventLoopGroup group) {
-    return new WireTransport(identity, Optional.empty(), group);
+  public static WireTransport createOnGroup(
+      Identity identity, EventLoopGroup group, LinkLimits limits) {
+    return new WireTransport(identity, Optional.empty(), group, limits);
+  }
+
+  /** Returns how many accepted connections were closed before their handshake was complete. */
+  public long rejectedConnections() {
+    return rejected.get();
   }
 
   /**
@@ -162,6 +178,11 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(Channel channel) {
+        FrameDecoder decoder =
+            new FrameDecoder(MAXIMUM_FRAME_BYTES, LENGTH_FIELD_BYTES, incompleteFrames);
+        if (!initiator) {
+          strangers.add(channel);
+        }
         Optional<SslContext> context =
             tls.map(contexts -> initiator ? contexts.client() : contexts.server());
         context.ifPresent(
@@ -173,17 +194,22 @@
                     RECEIVE_TIMEOUT_MILLIS, HEARTBEAT_INTERVAL_MILLIS, 0, TimeUnit.MILLISECONDS))
             // Under load many small frames are sent together; this saves system calls.
             .addLast(new FlushConsolidationHandler(MAXIMUM_CONSOLIDATED_FLUSHES, true))
-            .addLast(
-                new LengthFieldBasedFrameDecoder(
-                    MAXIMUM_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
+            .addLast(decoder)
             .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
             .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
             .addLast(new ProtobufEncoder())
-            .addLast(new FrameHandler(identity, listener, initiator, onFailure));
+            .addLast(
+                new FrameHandler(
+                    identity, listener, initiator, () -> onHandshake(channel, decoder), onFailure));
       }
     };
   }
 
+  private void onHandshake(Channel channel, FrameDecoder decoder) {
+    decoder.onHandshake();
+    strangers.remove(channel);
+  }
+
   private static ResultException unreachable(String host, int port, Throwable cause) {
     ResultException failure =
         new ResultException(
--- a/wire/src/test/java/dev/ibishub/wire/WireTransportTest.java
+++ b/wire/src/test/java/dev/ibishub/wire/WireTransportTest.java
@@ -10,6 +10,8 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -81,6 +83,52 @@
         .hasCauseInstanceOf(ResultException.class);
   }
 
+  // Guards against strangers whose long frames fill the memory.
+  @Test
+  void disconnectsStrangerThatSendsLongFrame() throws Exception {
+    int port = agent.listen("127.0.0.1", 0, agentListener).get(10, TimeUnit.SECONDS);
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(new byte[] {0, 16, 0, 0, 1});
+
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  // Guards against strangers that take all descriptors, and against peers that they keep out.
+  @Test
+  void oldestOfManyStrangersIsDisconnectedAndPeersAreLinked() throws Exception {
+    int port = agent.listen("127.0.0.1", 0, agentListener).get(10, TimeUnit.SECONDS);
+    List<Socket> strangers = new ArrayList<>();
+    try {
+      for (int number = 0; number <= LinkLimits.defaults().maximumHandshakes(); number++) {
+        strangers.add(new Socket(InetAddress.getLoopbackAddress(), port));
+      }
+
+      assertThat(strangers.get(0).getInputStream().read()).isEqualTo(-1);
+      assertThat(agent.rejectedConnections()).isPositive();
+      Link opened =
+          entry.connect("127.0.0.1", port, new RecordingListener()).get(10, TimeUnit.SECONDS);
+      assertThat(opened.closed()).isNotDone();
+    } finally {
+      for (Socket stranger : strangers) {
+        stranger.close();
+      }
+    }
+  }
+
+  // Guards against links whose incomplete frames fill the memory together.
+  @Test
+  void incompleteFramesOfAllLinksAreBounded() {
+    FrameMemory memory = new FrameMemory(100);
+
+    assertThat(memory.tryReserve(60)).isTrue();
+    assertThat(memory.tryReserve(41)).isFalse();
+
+    memory.release(60);
+
+    assertThat(memory.tryReserve(100)).isTrue();
+  }
+
   private Link openLink() throws Exception {
     int port = agent.listen("127.0.0.1", 0, agentListener).get(10, TimeUnit.SECONDS);
     return entry.connect("127.0.0.1", port, new RecordingListener()).get(10, TimeUnit.SECONDS);
