End a process that an error of the JVM has crippled

Callers saw: an entry whose event loop had met a lack of memory stays as a process that answers nobody, or ends with status 0 and no line that says why.

Cause: Netty hands an Error on, so that the thread of the event loop ends; no handler of uncaught errors was set, and a process whose last thread has ended counts as one that was stopped.

Fix: a last resort beside the limits, no replacement for them.

--- a/agent/src/main/java/dev/ibishub/agent/AgentMain.java
+++ b/agent/src/main/java/dev/ibishub/agent/AgentMain.java
@@ -1,6 +1,7 @@
 package dev.ibishub.agent;
 
 import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.FatalErrors;
 import dev.ibishub.runtime.LogSetup;
 import dev.ibishub.runtime.ProcessSignals;
 import dev.ibishub.runtime.Startup;
@@ -26,6 +27,7 @@
     AgentSettings settings = readOrExit(file);
     LogSetup.configure(
         settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.targetId());
+    FatalErrors.exitOnError();
     Agent agent = Startup.startOrExit(() -> Agent.start(settings));
     ProcessSignals.onStop(
         () -> {
--- a/entry/src/main/java/dev/ibishub/entry/EntryMain.java
+++ b/entry/src/main/java/dev/ibishub/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package dev.ibishub.entry;
 
 import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.FatalErrors;
 import dev.ibishub.runtime.LogSetup;
 import dev.ibishub.runtime.ProcessSignals;
 import dev.ibishub.runtime.Startup;
@@ -25,6 +26,7 @@
     EntrySettings settings = readOrExit(file);
     LogSetup.configure(
         settings.logFormat() == LogFormat.JSON ? "json" : "key-value", settings.processId());
+    FatalErrors.exitOnError();
     Entry entry = Startup.startOrExit(() -> Entry.start(settings));
     ProcessSignals.onStop(
         () -> {
--- a/node/src/main/java/dev/ibishub/node/NodeMain.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMain.java
@@ -2,6 +2,7 @@
 
 import dev.ibishub.platform.SettingsLocation;
 import dev.ibishub.runtime.CommandLine;
+import dev.ibishub.runtime.FatalErrors;
 import dev.ibishub.runtime.LogSetup;
 import dev.ibishub.runtime.Startup;
 import dev.ibishub.settings.NodeSettings;
@@ -27,6 +28,7 @@
     Path file = fromEnvironment.isPresent() ? fromEnvironment.get() : fileOnCommandLine(arguments);
     NodeSettings settings = readOrExit(file);
     LogSetup.configureQueued(settings.processId());
+    FatalErrors.exitOnError();
     Startup.startOrExit(Executors.callable(() -> start(settings, file)));
   }
 
