Account for the memory that is held for callers, and bound it

Callers saw: an entry ends, and all its callers lose their connections, while others read large answers slowly, send requests ahead without reading, or send heads that never end.

Cause: nothing added up what is buffered for all callers. A relay buffers 256 KiB of an answer and 1 MiB of an event, a whole answer went to the write buffer at once, the next request of a connection started while the answer before was unread, and heads, waiting or incomplete, counted nowhere.

Fix: CallerMemory decides for the whole process, without I/O: half of the heap (callerMemoryBytes). First, targets are not read beyond 32 KiB that wait in a connection, and the next request of a connection waits until the answers before are read; the connection is read on, so that its close is noticed. Then answers are passed on instead of buffered, then requests sent ahead, large ones and at last all are rejected with a time to return. Of responses and of incomplete heads the connection that holds the most is closed. That is the order of Envoy's overload manager; its reset of the streams with the largest buffers was weighed against a share for each connection, which is too small for a single large answer while hardly anybody is connected, and against a minimum rate of reading, which the kernel's buffers hide. A connection whose caller has read nothing for stalledResponseSeconds is closed, also one that ends with its response; such a one stayed open for ever before.

bodyMemoryBytes is callerMemoryBytes now, and ibishub_body_bytes a kind of ibishub_caller_memory_bytes. Each limit that applied is counted in ibishub_caller_limits_total. Behind ibishub's own interface it is the same code. BodyMemoryTest asks the account for bodies as strictly as before.

--- a/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
+++ b/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
@@ -6,7 +6,9 @@
 import dev.ibishub.administration.ProblemDocument;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
-import dev.ibishub.gateway.front.BodyMemory;
+import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.front.CallerExchange;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.model.CallerLimits;
@@ -23,6 +25,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -59,7 +62,6 @@
   private final Executor threads;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
-  private final BodyMemory bodies = BodyMemory.ofHeap();
   private final CallerServer connections;
   private final Map<String, HttpHandler> handlers = new ConcurrentHashMap<>();
   private volatile boolean isStarted;
@@ -79,8 +81,14 @@
    *
    * @param threads runs the endpoints, which may block, so it must not have a fixed number of
    *     threads
+   * @param registry where the metrics of connections are registered
    */
-  EndpointServer(EntrySettings settings, long incarnation, InstantSource clock, Executor threads) {
+  EndpointServer(
+      EntrySettings settings,
+      long incarnation,
+      InstantSource clock,
+      Executor threads,
+      PrometheusRegistry registry) {
     this.settings = settings;
     this.clock = clock;
     this.threads = threads;
@@ -93,7 +101,12 @@
             slowSenderMillis,
             slowSenderMillis,
             IDLE_TIMEOUT_MILLIS);
-    this.connections = new CallerServer(() -> limits, new Exchanges(), bodies);
+    CallerResources resources =
+        CallerResources.create(
+            registry,
+            new CallerMemory(settings::callerMemoryBytes),
+            () -> TimeUnit.SECONDS.toMillis(settings.stalledResponseSeconds()));
+    this.connections = new CallerServer(() -> limits, new Exchanges(), resources);
   }
 
   /** Adds the endpoint of all paths that begin with the given one and with no longer one. */
@@ -127,11 +140,6 @@
     group.shutdownGracefully();
   }
 
-  /** Returns the memory that the bodies of requests take, bytes. */
-  long bodyBytes() {
-    return bodies.reservedBytes();
-  }
-
   /** Returns the number of requests that hold a slot, see {@link #acquireSlot}. */
   int inFlight() {
     return inFlight.get();
@@ -211,7 +219,8 @@
   /** Creates the exchanges of the callers' connections. */
   private final class Exchanges implements CallerExchange.Factory {
     @Override
-    public CallerExchange create(Channel channel, FullHttpRequest request, Runnable onDone) {
+    public CallerExchange create(
+        Channel channel, ConnectionMemory memory, FullHttpRequest request, Runnable onDone) {
       Optional<URI> uri = parse(request.uri());
       HttpHandler handler =
           uri.map(known -> handlerOf(known.getPath()))
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -109,7 +109,7 @@
         ConfigurationFollower.create(
             log, settings.site(), ConfigurationFollower.Options.defaults());
     this.publisher = ConfigurationPublisher.create(log, configuration, clock, PUBLISH_TIMEOUT);
-    this.server = new EndpointServer(settings, incarnation, clock, threads);
+    this.server = new EndpointServer(settings, incarnation, clock, threads, metrics.registry());
     server.listen();
     DeferredLinkListener listener = new DeferredLinkListener();
     int peerPort = transport.listen(settings.host(), settings.peerPort(), listener).join();
@@ -195,8 +195,6 @@
     new OperatorEndpoints(settings, operatorApi(orders)).addTo(server);
     MonitoringEndpoints.addTo(server::add, metrics.registry(), this::isReady);
     metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
-    metrics.gauge(
-        "ibishub_entry_body_bytes", "Memory that bodies of requests take.", server::bodyBytes);
     metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::linkCount);
     metrics.gauge("ibishub_entry_peers", "Links to other entries.", peers::linkCount);
     metrics.gauge(
--- a/entry/src/test/java/dev/ibishub/entry/EndpointServerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/EndpointServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.settings.EntrySettings;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -46,7 +47,8 @@
 
   @BeforeEach
   void start() {
-    server = new EndpointServer(SETTINGS, 1, InstantSource.system(), threads);
+    server =
+        new EndpointServer(SETTINGS, 1, InstantSource.system(), threads, new PrometheusRegistry());
     server.listen();
     server.add(
         "/echo",
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -2,6 +2,8 @@
 
 import dev.ibishub.core.serving.AttemptOutcome;
 import dev.ibishub.core.serving.DeliveredResponse;
+import dev.ibishub.gateway.callers.CallerMemory.Kind;
+import dev.ibishub.gateway.callers.ConnectionMemory;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -39,10 +41,14 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
 
+  /** Size of a buffer that grows, in relation to what it holds. */
+  private static final long GROWTH_FACTOR = 2;
+
   private final RequestDialect dialect;
+  private final Buffering buffering;
   private final Listener listener;
   private final String attemptId;
-  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private final EventSplitter splitter = new EventSplitter();
   private TargetCall call;
   private TargetResponse response;
@@ -54,8 +60,19 @@
   /** Size of the comments since the last event, bytes. */
   private int commentBytes;
 
+  /** Memory that is held for what was read and not passed on, bytes. */
+  private long heldBytes;
+
   private boolean isOver;
 
+  /**
+   * Where responses are buffered.
+   *
+   * @param memory the memory of the caller's connection
+   * @param onUnbuffered called when a response is passed on as there was no memory to buffer it
+   */
+  record Buffering(ConnectionMemory memory, Runnable onUnbuffered) {}
+
   /** A complete error response of the target. */
   @SuppressWarnings("ArrayRecordComponent") // Handed on, never compared or hashed.
   record Failure(int status, HttpHeaders headers, byte[] body) {}
@@ -92,8 +109,10 @@
     void onFailure(AttemptOutcome outcome, String cause, Optional<Failure> failure);
   }
 
-  private AttemptRelay(RequestDialect dialect, String attemptId, Listener listener) {
+  private AttemptRelay(
+      RequestDialect dialect, Buffering buffering, String attemptId, Listener listener) {
     this.dialect = dialect;
+    this.buffering = buffering;
     this.attemptId = attemptId;
     this.listener = listener;
   }
@@ -103,15 +122,16 @@
       RequestDialect dialect,
       InetSocketAddress address,
       FullHttpRequest request,
+      Buffering buffering,
       Listener listener) {
     String attemptId = dialect.read(request).attemptId();
-    AttemptRelay relay = new AttemptRelay(dialect, attemptId, listener);
+    AttemptRelay relay = new AttemptRelay(dialect, buffering, attemptId, listener);
     relay.call = TargetCall.start(loop, address, request, relay);
     return relay;
   }
 
   void cancel() {
-    isOver = true;
+    end();
     call.cancel();
   }
 
@@ -186,7 +206,7 @@
       endStream();
       return;
     }
-    isOver = true;
+    end();
     if (isPassingThrough) {
       listener.onEnd();
     } else if (response.status() >= 400) {
@@ -213,11 +233,18 @@
   }
 
   private void buffer(byte[] bytes) {
+    boolean isOptional = response.isSuccess();
+    long size = (long) buffered.size() + bytes.length;
+    boolean hasRoom =
+        size <= MAXIMUM_BUFFERED_BYTES && (!isOptional || tryBuffer(bytes.length * GROWTH_FACTOR));
+    if (!isOptional) {
+      hold(size * GROWTH_FACTOR);
+    }
     buffered.writeBytes(bytes);
-    if (buffered.size() <= MAXIMUM_BUFFERED_BYTES) {
+    if (hasRoom) {
       return;
     }
-    if (!response.isSuccess()) {
+    if (!isOptional) {
       fail(
           AttemptOutcome.BROKEN,
           "the body of a response with status %d is longer than %d bytes"
@@ -226,10 +253,35 @@
       isPassingThrough = true;
       listener.onBegin(response.status(), headers, declaredLength);
       listener.onPiece(buffered.toByteArray());
-      buffered.reset();
+      buffered = new ByteArrayOutputStream();
+      hold(0);
     }
   }
 
+  private boolean tryBuffer(long bytes) {
+    boolean isReserved = buffering.memory().tryBuffer(bytes);
+    if (isReserved) {
+      heldBytes += bytes;
+    } else {
+      buffering.onUnbuffered().run();
+    }
+    return isReserved;
+  }
+
+  /** Changes what is held for what was read and not passed on. */
+  private void hold(long bytes) {
+    long change = bytes - heldBytes;
+    heldBytes = bytes;
+    if (change != 0) {
+      buffering.memory().hold(Kind.RESPONSE, change);
+    }
+  }
+
+  private void end() {
+    isOver = true;
+    hold(0);
+  }
+
   private void onEvents(byte[] bytes) {
     for (EventSplitter.Event event : splitter.feed(bytes)) {
       if (isOver) {
@@ -237,6 +289,9 @@
       }
       onEvent(event);
     }
+    if (!isOver) {
+      hold((long) splitter.pendingBytes() * GROWTH_FACTOR);
+    }
   }
 
   private void onEvent(EventSplitter.Event event) {
@@ -273,7 +328,7 @@
       fail(AttemptOutcome.BROKEN, "the stream ended within an event");
       return;
     }
-    isOver = true;
+    end();
     listener.onBegin(response.status(), headers, OptionalLong.empty());
     listener.onEnd();
   }
@@ -284,7 +339,7 @@
 
   private void fail(AttemptOutcome outcome, String cause) {
     if (!isOver) {
-      isOver = true;
+      end();
       listener.onFailure(outcome, cause, Optional.empty());
     }
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
@@ -2,6 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.gateway.callers.CallerLimitEvent;
+import dev.ibishub.gateway.callers.CallerMemory.Kind;
+import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.ConnectionMemory;
+import dev.ibishub.gateway.callers.HeadSize;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
@@ -54,6 +59,12 @@
 
   private static final int HEADERS_TOO_LARGE = 431;
 
+  /** Memory of a request that runs and of its connections to targets, bytes. */
+  private static final long EXCHANGE_BYTES = 12 << 10;
+
+  /** Size of a buffer that grows, in relation to what it holds. */
+  private static final long GROWTH_FACTOR = 2;
+
   /**
    * Longest time for which a caller may go on sending after its request was rejected, milliseconds.
    */
@@ -63,22 +74,21 @@
   private final CallerExchange.Factory exchanges;
   private final RequestReadMonitor monitor;
   private final AtomicInteger inFlight;
-  private final BodyMemory memory;
+  private final CallerResources resources;
+  private final ConnectionMemory memory;
   private final RequestPipeline pipeline = new RequestPipeline();
   private ChannelHandlerContext channelContext;
   private HttpRequest head;
   private long headAt;
   private ByteBuf body;
 
-  /** Memory that is reserved for the body that is arriving, bytes. */
-  private long arrivingBytes;
-
-  /** Memory that is reserved for the body of the request that runs, bytes. */
-  private long runningBytes;
+  /** Memory of the request that is arriving. */
+  private RequestMemory arriving;
 
-  /** Memory that is reserved for all bodies of this connection, bytes. */
-  private long reservedBytes;
+  /** Memory of the request that runs. */
+  private RequestMemory running;
 
+  private final StallDetector stalls = new StallDetector();
   private CallerExchange exchange;
   private ScheduledFuture<?> nextCheck;
   private long nextCheckAt;
@@ -92,16 +102,21 @@
   /** Whether no further response is written. */
   private boolean isClosing;
 
+  /** Whether a request waits until the caller has read earlier responses. */
+  private boolean isHeldBack;
+
   CallerConnection(
       Supplier<CallerLimits> limits,
       CallerExchange.Factory exchanges,
       RequestReadMonitor monitor,
       AtomicInteger inFlight,
-      BodyMemory memory) {
+      CallerResources resources,
+      ConnectionMemory memory) {
     this.limits = limits;
     this.exchanges = exchanges;
     this.monitor = monitor;
     this.inFlight = inFlight;
+    this.resources = resources;
     this.memory = memory;
   }
 
@@ -139,6 +154,9 @@
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
     if (exchange != null) {
       exchange.onWritable(handlerContext.channel().isWritable());
+    } else if (isHeldBack && handlerContext.channel().isWritable()) {
+      // Not at once, as writing a response changes the writability, too.
+      handlerContext.executor().execute(this::startNext);
     }
   }
 
@@ -153,7 +171,6 @@
     }
     dropBody();
     pipeline.clear();
-    release(exchange == null ? reservedBytes : reservedBytes - runningBytes);
   }
 
   @Override
@@ -189,19 +206,30 @@
       reject(ResultCode.TOO_LARGE);
       return;
     }
+    boolean waits = exchange != null || !pipeline.isEmpty();
+    arriving = new RequestMemory(memory, waits);
     if (!pipeline.hasRoomFor(declaredLength, limits())
-        || !reserve(declaredLength, declaredLength)) {
-      reject(ResultCode.OVERLOADED);
+        || !arriving.tryReserve(Kind.HEAD, memoryOf(request))
+        || !arriving.tryReserveBody(declaredLength)) {
+      rejectForLackOfMemory();
       return;
     }
     head = request;
     headAt = MonotonicClock.millis();
-    arrivingBytes = declaredLength;
     body = Unpooled.EMPTY_BUFFER;
     owesContinue = HttpUtil.is100ContinueExpected(request);
     continueIfDue();
   }
 
+  private static long memoryOf(HttpRequest request) {
+    return request.uri().length() + HeadSize.memoryOf(request.headers());
+  }
+
+  private void rejectForLackOfMemory() {
+    resources.metrics().count(CallerLimitEvent.MEMORY_REJECTED);
+    reject(ResultCode.OVERLOADED);
+  }
+
   /** Asks for the body of the request that is arriving, once no earlier one is under way. */
   private void continueIfDue() {
     if (owesContinue && exchange == null && pipeline.isEmpty()) {
@@ -244,12 +272,11 @@
         reject(ResultCode.TOO_LARGE);
         return;
       }
-      long unreserved = Math.max(0, bytes - arrivingBytes);
-      if (!pipeline.hasRoomFor(bytes, limits()) || !reserve(unreserved, bytes)) {
-        reject(ResultCode.OVERLOADED);
+      long reservedBytes = hasLength() ? bytes : bytes * GROWTH_FACTOR;
+      if (!pipeline.hasRoomFor(bytes, limits()) || !arriving.tryReserveBody(reservedBytes)) {
+        rejectForLackOfMemory();
         return;
       }
-      arrivingBytes += unreserved;
       body = body.capacity() > 0 ? body : newBody();
       body.writeBytes(content.content());
     }
@@ -258,20 +285,15 @@
     }
   }
 
-  /** Returns a buffer that need not grow, which would take the memory of the body twice. */
-  private ByteBuf newBody() {
-    return arrivingBytes > 0 ? Unpooled.buffer((int) arrivingBytes) : Unpooled.buffer();
+  private boolean hasLength() {
+    return HttpUtil.isContentLengthSet(head);
   }
 
-  private boolean reserve(long bytes, long bodyBytes) {
-    boolean isReserved = memory.tryReserve(bytes, bodyBytes);
-    reservedBytes += isReserved ? bytes : 0;
-    return isReserved;
-  }
-
-  private void release(long bytes) {
-    reservedBytes -= bytes;
-    memory.release(bytes);
+  /** Returns a buffer that need not grow, which would take the memory of the body twice. */
+  private ByteBuf newBody() {
+    return hasLength()
+        ? Unpooled.buffer((int) HttpUtil.getContentLength(head, 0L))
+        : Unpooled.buffer();
   }
 
   private void completeRequest() {
@@ -280,16 +302,24 @@
     whole.headers().set(head.headers());
     head = null;
     body = null;
-    arrivingBytes = 0;
     owesContinue = false;
     monitor.expectHead();
-    pipeline.add(new RequestPipeline.Run(whole));
+    pipeline.add(new RequestPipeline.Run(whole, arriving));
+    arriving = null;
   }
 
   private void startNext() {
     if (exchange != null || isClosing || !channelContext.channel().isOpen()) {
       return;
     }
+    boolean wasHeldBack = isHeldBack;
+    isHeldBack = !pipeline.isEmpty() && !channelContext.channel().isWritable();
+    if (isHeldBack) {
+      if (!wasHeldBack) {
+        resources.metrics().count(CallerLimitEvent.REQUEST_HELD_BACK);
+      }
+      return;
+    }
     try {
       pipeline.poll().ifPresent(this::start);
     } catch (RuntimeException e) {
@@ -298,14 +328,28 @@
   }
 
   private void start(RequestPipeline.Turn turn) {
-    if (turn instanceof RequestPipeline.Run run) {
-      startExchange(run.request());
-    } else if (turn instanceof RequestPipeline.Rejection rejection) {
-      isClosing = true;
-      channelContext
-          .writeAndFlush(rejection.response())
-          .addListener((ChannelFuture written) -> closeAfterReading());
+    if (turn instanceof RequestPipeline.Rejection rejection) {
+      writeLast(rejection.response());
+    } else if (turn instanceof RequestPipeline.Run run) {
+      startOrReject(run);
+    }
+  }
+
+  private void startOrReject(RequestPipeline.Run run) {
+    if (run.memory().tryReserve(Kind.EXCHANGE, EXCHANGE_BYTES)) {
+      startExchange(run);
+      return;
     }
+    resources.metrics().count(CallerLimitEvent.MEMORY_REJECTED);
+    RequestPipeline.release(run);
+    writeLast(rejection(ResultCode.OVERLOADED.httpStatus(), ResultCode.OVERLOADED));
+  }
+
+  private void writeLast(FullHttpResponse response) {
+    isClosing = true;
+    channelContext
+        .writeAndFlush(response)
+        .addListener((ChannelFuture written) -> closeAfterReading());
   }
 
   /**
@@ -319,13 +363,14 @@
         .schedule(() -> channelContext.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void startExchange(FullHttpRequest request) {
+  private void startExchange(RequestPipeline.Run run) {
     inFlight.incrementAndGet();
-    runningBytes = request.content().readableBytes();
+    running = run.memory();
     exchange =
         exchanges.create(
             channelContext.channel(),
-            request,
+            memory,
+            run.request(),
             () -> channelContext.executor().execute(this::onExchangeDone));
     exchange.start();
   }
@@ -334,8 +379,7 @@
     boolean isLast = exchange.closesConnection();
     exchange = null;
     inFlight.decrementAndGet();
-    release(runningBytes);
-    runningBytes = 0;
+    running.release();
     monitor.restartIdleTime();
     if (isLast) {
       isClosing = true;
@@ -357,19 +401,29 @@
   }
 
   private void checkTimeouts() {
-    if (isClosing) {
+    long now = MonotonicClock.millis();
+    long unwritten = unwrittenBytes();
+    if (stalls.isStalled(unwritten, now, resources.stalledMillis().getAsLong())) {
+      resources.metrics().count(CallerLimitEvent.RESPONSE_STALLED);
+      channelContext.close();
       return;
     }
-    long now = MonotonicClock.millis();
-    if (exchange == null && !isDiscarding) {
+    if (!isClosing && exchange == null && !isDiscarding && unwritten == 0) {
       closeIfTimedOut(now);
     }
-    if (!isClosing) {
+    if (channelContext.channel().isOpen()) {
       long interval = isArriving() ? ARRIVING_CHECK_MILLIS : IDLE_CHECK_MILLIS;
       scheduleCheck(exchange == null ? Math.min(interval, untilIdle(now)) : interval);
     }
   }
 
+  /** Returns how much of the responses the socket has not accepted, bytes. */
+  private long unwrittenBytes() {
+    return Optional.ofNullable(channelContext.channel().unsafe().outboundBuffer())
+        .map(buffer -> buffer.totalPendingWriteBytes() - buffer.currentProgress())
+        .orElse(0L);
+  }
+
   /** Returns the time until the connection counts as idle if nothing more arrives, milliseconds. */
   private long untilIdle(long now) {
     return monitor.lastByteAt() + limits().idleTimeoutMillis() + 1 - now;
@@ -398,15 +452,21 @@
     isDiscarding = true;
     dropBody();
     logger.atInfo().log("%s", LogEvent.of("caller.rejected").with("status", status));
+    pipeline.add(new RequestPipeline.Rejection(rejection(status, code)));
+  }
+
+  private FullHttpResponse rejection(int status, ResultCode code) {
     FullHttpResponse rejection = exchanges.createRejection(status, code);
     rejection.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    pipeline.add(new RequestPipeline.Rejection(rejection));
+    return rejection;
   }
 
   private void dropBody() {
     owesContinue = false;
-    release(arrivingBytes);
-    arrivingBytes = 0;
+    if (arriving != null) {
+      arriving.release();
+      arriving = null;
+    }
     if (body != null) {
       body.release();
       body = null;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerExchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerExchange.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.front;
 
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.gateway.callers.ConnectionMemory;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -24,10 +25,12 @@
      * Creates an exchange, which begins with {@link CallerExchange#start}.
      *
      * @param channel the caller's connection
+     * @param memory the connection's memory, for what the exchange buffers of responses
      * @param request the whole request; the exchange releases it
      * @param onDone to be called once, on any thread, when the response was written or aborted
      */
-    CallerExchange create(Channel channel, FullHttpRequest request, Runnable onDone);
+    CallerExchange create(
+        Channel channel, ConnectionMemory memory, FullHttpRequest request, Runnable onDone);
 
     /**
      * Returns the response to a request that is rejected before its exchange begins; without a body
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
@@ -1,5 +1,10 @@
 package dev.ibishub.gateway.front;
 
+import dev.ibishub.gateway.callers.CallerLimitEvent;
+import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.ConnectionMemory;
+import dev.ibishub.gateway.callers.ResponseMemory;
+import dev.ibishub.gateway.callers.StrictRequestDecoder;
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -8,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -28,12 +34,19 @@
 public final class CallerServer {
   private static final int BACKLOG = 1_024;
 
+  /** Bytes of responses that wait in a connection, before targets are no longer read for it. */
+  private static final WriteBufferWaterMark UNWRITTEN_BYTES =
+      new WriteBufferWaterMark(16 << 10, 32 << 10);
+
+  /** Most bytes of one read, which bounds how long one connection holds the event loop. */
+  private static final int MAXIMUM_READ_BYTES = 16 << 10;
+
   /** Most reads of one connection before others have their turn. */
   private static final int MAXIMUM_READS = 16;
 
   private final Supplier<CallerLimits> limits;
   private final CallerExchange.Factory exchanges;
-  private final BodyMemory memory;
+  private final CallerResources resources;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger inFlight = new AtomicInteger();
   private Channel serverChannel;
@@ -41,13 +54,20 @@
   /**
    * Creates a server of the users' platform.
    *
-   * @param memory the memory for the bodies of requests
+   * @param resources what callers may take of the process
    */
-  public CallerServer(RequestContext context, BodyMemory memory) {
+  public CallerServer(RequestContext context, CallerResources resources) {
     this(
         context::limits,
-        (channel, request, onDone) -> new Exchange(context, channel, request, onDone),
-        memory);
+        (channel, memory, request, onDone) ->
+            new Exchange(
+                context,
+                channel,
+                new AttemptRelay.Buffering(
+                    memory, () -> resources.metrics().count(CallerLimitEvent.RESPONSE_UNBUFFERED)),
+                request,
+                onDone),
+        resources);
   }
 
   /**
@@ -55,13 +75,13 @@
    *
    * @param limits the limits for callers' requests and connections
    * @param exchanges creates the exchange of each request that arrived whole
-   * @param memory the memory for the bodies of requests
+   * @param resources what callers may take of the process
    */
   public CallerServer(
-      Supplier<CallerLimits> limits, CallerExchange.Factory exchanges, BodyMemory memory) {
+      Supplier<CallerLimits> limits, CallerExchange.Factory exchanges, CallerResources resources) {
     this.limits = limits;
     this.exchanges = exchanges;
-    this.memory = memory;
+    this.resources = resources;
   }
 
   /** Starts to listen; returns when callers can connect. */
@@ -74,19 +94,12 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToTheEnd())
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN_BYTES)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    connections.add(channel);
-                    RequestReadMonitor monitor = new RequestReadMonitor(limits.get());
-                    channel
-                        .pipeline()
-                        .addLast(monitor)
-                        .addLast(new StrictRequestDecoder(limits.get()))
-                        .addLast(new HttpResponseEncoder())
-                        .addLast(
-                            new CallerConnection(limits, exchanges, monitor, inFlight, memory));
+                    accept(channel);
                   }
                 })
             .bind(address)
@@ -94,12 +107,25 @@
             .channel();
   }
 
+  private void accept(Channel channel) {
+    connections.add(channel);
+    ConnectionMemory memory = resources.open(channel);
+    RequestReadMonitor monitor = new RequestReadMonitor(limits.get());
+    channel
+        .pipeline()
+        .addLast(monitor)
+        .addLast(new StrictRequestDecoder(limits.get(), memory))
+        .addLast(new HttpResponseEncoder())
+        .addLast(new ResponseMemory(memory))
+        .addLast(new CallerConnection(limits, exchanges, monitor, inFlight, resources, memory));
+  }
+
   /**
    * Returns an allocator with which each read goes on until nothing is left, so that a close is
    * read together with the request before it.
    */
   private static RecvByteBufAllocator readsToTheEnd() {
-    return new AdaptiveRecvByteBufAllocator()
+    return new AdaptiveRecvByteBufAllocator(64, 2_048, MAXIMUM_READ_BYTES)
         .respectMaybeMoreData(false)
         .maxMessagesPerRead(MAXIMUM_READS);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/EventSplitter.java
@@ -19,12 +19,15 @@
    */
   static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
+  /** Size of the longest event whose buffer is used again, bytes. */
+  private static final int MAXIMUM_KEPT_BYTES = 4 << 10;
+
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.ISO_8859_1);
 
   /** Digits up to which every number fits a {@code long}. */
   private static final int MAXIMUM_ID_DIGITS = 18;
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private boolean isLineEmpty = true;
   private boolean hasContent;
 
@@ -81,6 +84,11 @@
     return events;
   }
 
+  /** Returns the size of the event that is not complete, bytes. */
+  int pendingBytes() {
+    return pending.size();
+  }
+
   /** Whether the bytes so far end in the middle of an event. */
   boolean isWithinEvent() {
     return hasContent;
@@ -88,7 +96,12 @@
 
   private Event completeEvent() {
     byte[] eventBytes = pending.toByteArray();
-    pending.reset();
+    if (eventBytes.length > MAXIMUM_KEPT_BYTES) {
+      // A buffer keeps its capacity, which nothing counts between events.
+      pending = new ByteArrayOutputStream();
+    } else {
+      pending.reset();
+    }
     hasContent = false;
     return new Event(eventBytes, id(eventBytes));
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -64,6 +64,7 @@
 
   private final RequestContext context;
   private final EventLoop loop;
+  private final AttemptRelay.Buffering buffering;
   private final FullHttpRequest request;
   private final CallerResponse response;
   private final Runnable onDone;
@@ -103,12 +104,19 @@
   /**
    * Creates an exchange.
    *
+   * @param buffering where responses are buffered
    * @param request the whole request; released when the exchange is done
    * @param onDone called when the response was written or aborted
    */
-  Exchange(RequestContext context, Channel channel, FullHttpRequest request, Runnable onDone) {
+  Exchange(
+      RequestContext context,
+      Channel channel,
+      AttemptRelay.Buffering buffering,
+      FullHttpRequest request,
+      Runnable onDone) {
     this.context = context;
     this.loop = channel.eventLoop();
+    this.buffering = buffering;
     this.request = request;
     this.response = new CallerResponse(channel, request, context.stop()::isLeaving);
     this.onDone = onDone;
@@ -333,7 +341,7 @@
     Attempt attempt = new Attempt(target, now);
     attempt.relay =
         AttemptRelay.start(
-            loop, context.dialect(), target.address(), requestFor(target, now), attempt);
+            loop, context.dialect(), target.address(), requestFor(target, now), buffering, attempt);
     attempts.add(attempt);
     attempt.silenceMonitor.start(routed, now);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestPipeline.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestPipeline.java
@@ -26,7 +26,7 @@
   sealed interface Turn {}
 
   /** A request to run. */
-  record Run(FullHttpRequest request) implements Turn {}
+  record Run(FullHttpRequest request, RequestMemory memory) implements Turn {}
 
   /** The response to a request that is not run, after which the connection is closed. */
   record Rejection(FullHttpResponse response) implements Turn {}
@@ -63,8 +63,10 @@
     waitingBytes = 0;
   }
 
-  private static void release(Turn turn) {
+  /** Releases a turn that does not come. */
+  static void release(Turn turn) {
     if (turn instanceof Run run) {
+      run.memory().release();
       ReferenceCountUtil.release(run.request());
     } else if (turn instanceof Rejection rejection) {
       ReferenceCountUtil.release(rejection.response());
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetCall.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetCall.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -44,6 +46,10 @@
           .setMaxInitialLineLength(MAXIMUM_HEAD_BYTES)
           .setMaxHeaderSize(MAXIMUM_HEAD_BYTES);
 
+  /** Bounds what is read of a response before its caller's connection takes no more. */
+  private static final RecvByteBufAllocator READ_BUFFERS =
+      new AdaptiveRecvByteBufAllocator(64, 2_048, 16_384);
+
   private final Listener listener;
   private Channel channel;
   private boolean isOver;
@@ -92,6 +98,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, READ_BUFFERS)
             .handler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- a/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.callers.TestResources;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.EngineProfile;
 import dev.ibishub.gateway.model.Route;
@@ -141,7 +142,7 @@
                 new Stop(),
                 new RequestMetrics(new PrometheusRegistry()),
                 MonotonicClock.millis()),
-            BodyMemory.ofHeap());
+            TestResources.ofHeap());
     try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
       port = free.getLocalPort();
     }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/BodyMemoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/BodyMemoryTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.CallerMemory.Kind;
+import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import java.io.IOException;
@@ -28,7 +31,7 @@
   private static final int PIECE_BYTES = 10_000;
   private static final int AWAIT_MILLIS = 5_000;
 
-  private final BodyMemory memory = new BodyMemory(() -> MEMORY_BYTES);
+  private final CallerMemory memory = new CallerMemory(() -> MEMORY_BYTES);
   private TestEntry entry;
 
   @BeforeEach
@@ -55,10 +58,10 @@
 
   private void awaitReserved(long bytes) throws InterruptedException {
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
-    while (memory.reservedBytes() != bytes && System.nanoTime() < deadline) {
+    while (memory.bytes(Kind.BODY) != bytes && System.nanoTime() < deadline) {
       TimeUnit.MILLISECONDS.sleep(5);
     }
-    assertThat(memory.reservedBytes()).isEqualTo(bytes);
+    assertThat(memory.bytes(Kind.BODY)).isEqualTo(bytes);
   }
 
   // Guards against bodies that together fill the heap, so that the process stands still.
@@ -71,7 +74,7 @@
             new String(second.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 
         assertThat(response).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after:");
-        assertThat(memory.reservedBytes()).isEqualTo(LARGE_BODY_BYTES);
+        assertThat(memory.bytes(Kind.BODY)).isEqualTo(LARGE_BODY_BYTES);
       }
     }
     awaitReserved(0);
@@ -100,7 +103,7 @@
   void smallBodyHasRoomBesideLargeOnes() throws Exception {
     try (Socket large = begin("Content-Length: " + LARGE_BODY_BYTES)) {
       awaitReserved(LARGE_BODY_BYTES);
-      assertThat(memory.tryReserve(150_000, 150_000)).isFalse();
+      assertThat(memory.open(() -> {}).tryReserve(Kind.BODY, 150_000, 150_000)).isFalse();
       try (Socket small = begin("Content-Length: 50000")) {
         awaitReserved(LARGE_BODY_BYTES + 50_000);
       }
@@ -146,18 +149,20 @@
   void reservedBytesNeverExceedTheLimit() {
     Random random = new Random(1);
     long[] reserved = new long[100];
+    ConnectionMemory connection = memory.open(() -> {});
     Stream.generate(() -> random.nextInt(reserved.length))
         .limit(20_000)
         .forEach(
             body -> {
               long bytes = random.nextInt(20_000);
-              if (random.nextBoolean() && memory.tryReserve(bytes, reserved[body] + bytes)) {
+              if (random.nextBoolean()
+                  && connection.tryReserve(Kind.BODY, bytes, reserved[body] + bytes)) {
                 reserved[body] += bytes;
               } else if (random.nextInt(10) == 0) {
-                memory.release(reserved[body]);
+                connection.release(Kind.BODY, reserved[body]);
                 reserved[body] = 0;
               }
-              assertThat(memory.reservedBytes())
+              assertThat(memory.bytes(Kind.BODY))
                   .isEqualTo(Arrays.stream(reserved).sum())
                   .isBetween(0L, (long) MEMORY_BYTES);
             });
--- a/gateway/src/test/java/dev/ibishub/gateway/front/RequestPipelineTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/RequestPipelineTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -16,6 +18,11 @@
 
   private final RequestPipeline pipeline = new RequestPipeline();
 
+  private static RequestPipeline.Run run(FullHttpRequest request) {
+    ConnectionMemory memory = new CallerMemory(() -> 0).open(() -> {});
+    return new RequestPipeline.Run(request, new RequestMemory(memory, true));
+  }
+
   private static FullHttpRequest request(int bytes) {
     return new DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.wrappedBuffer(new byte[bytes]));
@@ -25,7 +32,7 @@
   @Test
   void numberOfWaitingRequestsIsBounded() {
     IntStream.range(0, RequestPipeline.MAXIMUM_WAITING)
-        .forEach(number -> pipeline.add(new RequestPipeline.Run(request(0))));
+        .forEach(number -> pipeline.add(run(request(0))));
 
     assertThat(pipeline.hasRoomFor(0, LIMITS)).isFalse();
 
@@ -37,7 +44,7 @@
   // Guards against bodies in a row that fill the memory.
   @Test
   void bytesOfWaitingRequestsAreBounded() {
-    pipeline.add(new RequestPipeline.Run(request(60)));
+    pipeline.add(run(request(60)));
 
     assertThat(pipeline.hasRoomFor(40, LIMITS)).isTrue();
     assertThat(pipeline.hasRoomFor(41, LIMITS)).isFalse();
@@ -51,7 +58,7 @@
   @Test
   void clearReleasesWhatWaits() {
     FullHttpRequest waiting = request(60);
-    pipeline.add(new RequestPipeline.Run(waiting));
+    pipeline.add(run(waiting));
     pipeline.clear();
 
     assertThat(waiting.refCnt()).isZero();
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
@@ -6,6 +6,8 @@
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.TestResources;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
 import dev.ibishub.gateway.model.ServingConfiguration;
@@ -108,11 +110,11 @@
 
   /** Starts an entry without targets. */
   TestEntry(Supplier<Optional<ServingConfiguration>> configurations) throws IOException {
-    this(configurations, BodyMemory.ofHeap());
+    this(configurations, new CallerMemory(() -> 0));
   }
 
-  /** Starts an entry without targets, and with the given memory for bodies. */
-  TestEntry(Supplier<Optional<ServingConfiguration>> configurations, BodyMemory bodies)
+  /** Starts an entry without targets, and with the given memory for callers. */
+  TestEntry(Supplier<Optional<ServingConfiguration>> configurations, CallerMemory memory)
       throws IOException {
     Supplier<Optional<ServingConfiguration>> configuration =
         () -> {
@@ -153,7 +155,7 @@
                 stop,
                 new RequestMetrics(new PrometheusRegistry()),
                 MonotonicClock.millis()),
-            bodies);
+            TestResources.of(memory));
     try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
       port = free.getLocalPort();
     }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -8,12 +8,13 @@
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.CallerResources;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
 import dev.ibishub.gateway.front.AdmissionMode;
-import dev.ibishub.gateway.front.BodyMemory;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.CrashDetector;
 import dev.ibishub.gateway.front.RequestContext;
@@ -91,7 +92,11 @@
   private static final long MAXIMUM_WAITING_REPORT_BYTES = 1 << 20;
 
   private volatile NodeSettings settings;
-  private final BodyMemory bodies = new BodyMemory(() -> settings.bodyMemoryBytes());
+  private final CallerResources resources =
+      CallerResources.create(
+          PrometheusRegistry.defaultRegistry,
+          new CallerMemory(() -> settings.callerMemoryBytes()),
+          () -> TimeUnit.SECONDS.toMillis(settings.stalledResponseSeconds()));
   private volatile ReadTurns configurationTurns;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
@@ -125,7 +130,7 @@
     configurationTurns = configurationTurns(settings);
     InetSocketAddress storeAddress = SocketAddresses.parse(settings.storeAddress().orElseThrow());
     PooledHttpClient httpClient = new PooledHttpClient(group);
-    metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry, bodies::reservedBytes);
+    metrics = new NodeMetrics(PrometheusRegistry.defaultRegistry);
     crashes = newCrashDetector(settings);
     limits =
         new TargetLimits(
@@ -266,7 +271,7 @@
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
             startedAt),
-        bodies);
+        resources);
   }
 
   /**
--- a/node/src/main/java/dev/ibishub/node/NodeMetrics.java
+++ b/node/src/main/java/dev/ibishub/node/NodeMetrics.java
@@ -7,7 +7,6 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,14 +32,8 @@
    * Creates the metrics.
    *
    * @param registry where they are registered
-   * @param bodyBytes returns the memory that bodies of requests take, bytes
    */
-  NodeMetrics(PrometheusRegistry registry, LongSupplier bodyBytes) {
-    GaugeWithCallback.builder()
-        .name("ibishub_body_bytes")
-        .help("Memory that the bodies of callers' requests take, bytes.")
-        .callback(callback -> callback.call((double) bodyBytes.getAsLong()))
-        .register(registry);
+  NodeMetrics(PrometheusRegistry registry) {
     age =
         Gauge.builder()
             .name("ibishub_knowledge_age_seconds")
--- a/settings/src/main/java/dev/ibishub/settings/CommonKeys.java
+++ b/settings/src/main/java/dev/ibishub/settings/CommonKeys.java
@@ -33,6 +33,19 @@
           600,
           "The longest that a planned stop waits for requests in flight; what is left then ends"
               + " with its result code.");
+  static final Key CALLER_MEMORY_BYTES =
+      Key.integer(
+              "callerMemoryBytes",
+              "bytes",
+              0,
+              1 << 30,
+              "Memory held for callers: connections, requests, responses; 0 for half of the heap.")
+          .defaultingTo(0L);
+  static final Key STALLED_RESPONSE_SECONDS =
+      seconds(
+          "stalledResponseSeconds",
+          30,
+          "Time after which a connection is closed whose caller has read nothing of a response.");
   static final Key LOG_FORMAT =
       Key.text(
               "logFormat",
--- a/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
@@ -29,6 +29,9 @@
  * @param maximumStreamsPerCaller the maximum number of requests in flight from one caller address
  * @param slowSenderSeconds how long the headers, and the body, of a request may take to arrive,
  *     seconds
+ * @param callerMemoryBytes the memory that may be held for callers, bytes; 0 for half of the heap
+ * @param stalledResponseSeconds the time after which a connection is closed whose caller has read
+ *     nothing of a response, seconds
  * @param requestTimeoutSeconds the deadline of requests that set none, seconds from arrival
  * @param drainSeconds the longest time that a planned stop waits for requests in flight, seconds
  * @param addressValiditySeconds how long callers may cache an answer with addresses, seconds
@@ -52,6 +55,8 @@
     int maximumConcurrentStreams,
     int maximumStreamsPerCaller,
     int slowSenderSeconds,
+    int callerMemoryBytes,
+    int stalledResponseSeconds,
     int requestTimeoutSeconds,
     int drainSeconds,
     int addressValiditySeconds,
@@ -105,6 +110,8 @@
               "slowSenderSeconds",
               10,
               "How long the headers, and the body, of a request may take to arrive."),
+          CommonKeys.CALLER_MEMORY_BYTES,
+          CommonKeys.STALLED_RESPONSE_SECONDS,
           CommonKeys.seconds(
               "requestTimeoutSeconds", 120, "Deadline of a request that gives none."),
           CommonKeys.DRAIN_SECONDS,
@@ -178,6 +185,8 @@
         root.integer("maximumConcurrentStreams"),
         root.integer("maximumStreamsPerCaller"),
         root.integer("slowSenderSeconds"),
+        root.integer("callerMemoryBytes"),
+        root.integer("stalledResponseSeconds"),
         root.integer("requestTimeoutSeconds"),
         root.integer("drainSeconds"),
         root.integer("addressValiditySeconds"),
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -38,12 +38,13 @@
  * @param coldOverrun the factor by which one second may exceed the rate that a cold target
  *     tolerates
  * @param coldSlack the requests that one second may have beyond that
- * @param bodyMemoryBytes the memory that the bodies of callers' requests may take together, bytes;
- *     0 for half of the heap
+ * @param callerMemoryBytes the memory that may be held for callers, bytes; 0 for half of the heap
  * @param maximumHandshakes the most connections to the port for links whose handshake is not
  *     complete
  * @param linkMemoryBytes the memory for incomplete frames of links, bytes; 0 for a quarter of the
  *     heap
+ * @param stalledResponseSeconds the time after which a connection is closed whose caller has read
+ *     nothing of a response, seconds
  */
 public record NodeSettings(
     String processId,
@@ -69,9 +70,10 @@
     boolean isFirstStart,
     double coldOverrun,
     double coldSlack,
-    long bodyMemoryBytes,
+    int callerMemoryBytes,
     int maximumHandshakes,
-    int linkMemoryBytes) {
+    int linkMemoryBytes,
+    int stalledResponseSeconds) {
 
   static final ObjectSchema SCHEMA =
       ObjectSchema.of(
@@ -159,13 +161,7 @@
                   1_000_000,
                   "Requests that one second may have beyond that at a cold target.")
               .defaultingTo(0.0),
-          Key.integer(
-                  "bodyMemoryBytes",
-                  "bytes",
-                  0,
-                  1 << 30,
-                  "Memory for the bodies of all callers' requests; 0 for half of the heap.")
-              .defaultingTo(0L),
+          CommonKeys.CALLER_MEMORY_BYTES,
           Key.integer(
                   "maximumHandshakes",
                   "",
@@ -179,7 +175,8 @@
                   0,
                   1 << 30,
                   "Memory for long incomplete frames of links; 0 for a quarter of the heap.")
-              .defaultingTo(0L));
+              .defaultingTo(0L),
+          CommonKeys.STALLED_RESPONSE_SECONDS);
 
   private static final Map<String, Function<NodeSettings, Object>> FIXED_KEYS =
       Map.ofEntries(
@@ -259,9 +256,10 @@
         isFirstStart,
         coldOverrun,
         coldSlack,
-        bodyMemoryBytes,
+        callerMemoryBytes,
         other.maximumHandshakes,
-        other.linkMemoryBytes);
+        other.linkMemoryBytes,
+        stalledResponseSeconds);
   }
 
   private static void check(Section root, List<Fault> faults) {
@@ -303,8 +301,9 @@
         root.flag("firstStart"),
         root.number("coldOverrun"),
         root.number("coldSlack"),
-        root.integer("bodyMemoryBytes"),
+        root.integer("callerMemoryBytes"),
         root.integer("maximumHandshakes"),
-        root.integer("linkMemoryBytes"));
+        root.integer("linkMemoryBytes"),
+        root.integer("stalledResponseSeconds"));
   }
 }
