Bound callers' connections so that descriptors are left

Callers saw: while many others hold connections, idle or with requests at work, no request is served; new connections are not accepted.

Cause: callers' connections could take every descriptor, and links, the store, targets and pages share them.

Fix: a third of the descriptors for callers' connections, as many and a quarter more for targets, the rest for files, links, the store and pages; and what an open connection costs in memory must fit in a quarter of what is held for callers. Beyond it, the connection that has been without a complete request for the longest time is closed for the new one, so slow heads and bodies count as idle. If all have requests, the new one is told with 503 when to come back. ConnectionBound decides that without I/O. Settings maximumCallerConnections and descriptors, which the platform fills in; metric ibishub_caller_connections and two events.

--- a/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
+++ b/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
@@ -9,6 +9,7 @@
 import dev.ibishub.gateway.callers.CallerMemory;
 import dev.ibishub.gateway.callers.CallerResources;
 import dev.ibishub.gateway.callers.ConnectionMemory;
+import dev.ibishub.gateway.callers.DescriptorShares;
 import dev.ibishub.gateway.front.CallerExchange;
 import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.model.CallerLimits;
@@ -54,6 +55,9 @@
   private static final int IO_THREADS = 2;
   private static final URI ROOT = URI.create("/");
 
+  /** Stands for the limit that the system has set for the descriptors of the process. */
+  private static final long UNSTATED = 0;
+
   /** Time after which an idle connection is closed, milliseconds. */
   private static final long IDLE_TIMEOUT_MILLIS = 30_000;
 
@@ -105,6 +109,9 @@
         CallerResources.create(
             registry,
             new CallerMemory(settings::callerMemoryBytes),
+            () ->
+                DescriptorShares.of(UNSTATED)
+                    .callerConnections(settings.maximumCallerConnections()),
             () -> TimeUnit.SECONDS.toMillis(settings.stalledResponseSeconds()));
     this.connections = new CallerServer(() -> limits, new Exchanges(), resources);
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerLimitEvent.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerLimitEvent.java
@@ -4,6 +4,10 @@
 
 /** What a limit on callers' memory or connections has led to. */
 public enum CallerLimitEvent {
+  /** A connection was closed, as it had no request and a new one needed its place. */
+  CONNECTION_DISPLACED,
+  /** A new connection was refused, as all others had requests. */
+  CONNECTION_REFUSED,
   /** A connection was closed, as it held the most memory. */
   MEMORY_CLOSED,
   /** A request was rejected, as there was no memory for it. */
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMemory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMemory.java
@@ -79,6 +79,11 @@
     return configured > 0 ? configured : Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
   }
 
+  /** Returns the most bytes that connections may take by being open. */
+  public long connectionLimitBytes() {
+    return limitBytes() / 4;
+  }
+
   /**
    * Returns the most bytes of responses. Half of them may be taken by responses that are buffered
    * only so that another target's response can still replace them.
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMetrics.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMetrics.java
@@ -5,14 +5,19 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.function.IntSupplier;
 
 /** Metrics of what callers take of the process, and of the limits that they meet. Thread-safe. */
 public final class CallerMetrics {
   private final Counter events;
   private final String port;
 
-  /** Creates the metrics of the port for callers' requests. */
-  public CallerMetrics(PrometheusRegistry registry, CallerMemory memory) {
+  /**
+   * Creates the metrics of the port for callers' requests.
+   *
+   * @param connections returns the number of callers' connections
+   */
+  public CallerMetrics(PrometheusRegistry registry, CallerMemory memory, IntSupplier connections) {
     this(
         Counter.builder()
             .name("ibishub_caller_limits_total")
@@ -34,6 +39,11 @@
                             callback.call(
                                 (double) memory.bytes(kind), kind.name().toLowerCase(Locale.ROOT))))
         .register(registry);
+    GaugeWithCallback.builder()
+        .name("ibishub_caller_connections")
+        .help("Open connections of callers.")
+        .callback(callback -> callback.call(connections.getAsInt()))
+        .register(registry);
   }
 
   private CallerMetrics(Counter events, String port) {
@@ -41,6 +51,11 @@
     this.port = port;
   }
 
+  /** Returns metrics that count the events of another port. */
+  CallerMetrics forPort(String name) {
+    return new CallerMetrics(events, name);
+  }
+
   /** Counts an event. */
   public void count(CallerLimitEvent event) {
     events.labelValues(port, event.label()).inc();
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
@@ -3,39 +3,82 @@
 import dev.ibishub.gateway.callers.CallerMemory.Kind;
 import io.netty.channel.Channel;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * What a port for callers may take of the process. Thread-safe.
  *
  * @param memory the account of the memory that is held for callers
+ * @param connections the bound on their connections
  * @param metrics counts which limits they meet
  * @param stalledMillis returns the time after which a connection is closed whose caller has read
  *     nothing of a response, milliseconds
  */
 public record CallerResources(
-    CallerMemory memory, CallerMetrics metrics, LongSupplier stalledMillis) {
+    CallerMemory memory,
+    ConnectionBound<Channel> connections,
+    CallerMetrics metrics,
+    LongSupplier stalledMillis) {
   /** Memory that an open connection takes by itself, bytes. */
   public static final long CONNECTION_BYTES = 4 << 10;
 
-  /** Creates resources. */
+  /**
+   * Creates resources.
+   *
+   * @param maximumConnections returns the most connections as far as descriptors go
+   */
   public static CallerResources create(
-      PrometheusRegistry registry, CallerMemory memory, LongSupplier stalledMillis) {
-    return new CallerResources(memory, new CallerMetrics(registry, memory), stalledMillis);
+      PrometheusRegistry registry,
+      CallerMemory memory,
+      IntSupplier maximumConnections,
+      LongSupplier stalledMillis) {
+    ConnectionBound<Channel> connections =
+        new ConnectionBound<>(
+            () ->
+                (int)
+                    Math.min(
+                        maximumConnections.getAsInt(),
+                        memory.connectionLimitBytes() / CONNECTION_BYTES));
+    return new CallerResources(
+        memory, connections, new CallerMetrics(registry, memory, connections::size), stalledMillis);
   }
 
-  /** Opens the memory of a new connection, until it closes. */
-  public ConnectionMemory open(Channel channel) {
+  /**
+   * Returns resources of another port, which share the memory.
+   *
+   * @param port name of the port in the metrics
+   * @param maximumConnections returns the most connections of that port
+   */
+  public CallerResources forPort(String port, IntSupplier maximumConnections) {
+    return new CallerResources(
+        memory, new ConnectionBound<>(maximumConnections), metrics.forPort(port), stalledMillis);
+  }
+
+  /**
+   * Admits a new connection, and closes the one that has to make room for it.
+   *
+   * @return the memory of the connection, until it closes; empty if there is no room for it
+   */
+  public Optional<ConnectionMemory> admit(Channel channel) {
+    ConnectionBound.Admission<Channel> admission = connections.admit(channel);
+    admission.displaced().ifPresent(each -> close(each, CallerLimitEvent.CONNECTION_DISPLACED));
+    if (!admission.isAdmitted()) {
+      metrics.count(CallerLimitEvent.CONNECTION_REFUSED);
+      return Optional.empty();
+    }
     ConnectionMemory opened = memory.open(() -> close(channel, CallerLimitEvent.MEMORY_CLOSED));
     opened.hold(Kind.CONNECTION, CONNECTION_BYTES);
     channel
         .closeFuture()
         .addListener(
             closed -> {
+              connections.onClosed(channel);
               opened.release(Kind.CONNECTION, CONNECTION_BYTES);
               opened.onClosed();
             });
-    return opened;
+    return Optional.of(opened);
   }
 
   private void close(Channel channel, CallerLimitEvent cause) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
@@ -306,6 +306,7 @@
     monitor.expectHead();
     pipeline.add(new RequestPipeline.Run(whole, arriving));
     arriving = null;
+    resources.connections().onBusy(channelContext.channel());
   }
 
   private void startNext() {
@@ -385,6 +386,9 @@
       isClosing = true;
       return;
     }
+    if (pipeline.isEmpty()) {
+      resources.connections().onIdle(channelContext.channel());
+    }
     startNext();
     continueIfDue();
   }
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
@@ -34,6 +34,9 @@
 public final class CallerServer {
   private static final int BACKLOG = 1_024;
 
+  /** Most connections beyond the bound that are told so at a time; others are closed at once. */
+  private static final int MAXIMUM_REFUSALS = 64;
+
   /** Bytes of responses that wait in a connection, before targets are no longer read for it. */
   private static final WriteBufferWaterMark UNWRITTEN_BYTES =
       new WriteBufferWaterMark(16 << 10, 32 << 10);
@@ -49,6 +52,7 @@
   private final CallerResources resources;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger refusals = new AtomicInteger();
   private Channel serverChannel;
 
   /**
@@ -109,7 +113,12 @@
 
   private void accept(Channel channel) {
     connections.add(channel);
-    ConnectionMemory memory = resources.open(channel);
+    resources
+        .admit(channel)
+        .ifPresentOrElse(memory -> addHandlers(channel, memory), () -> refuse(channel));
+  }
+
+  private void addHandlers(Channel channel, ConnectionMemory memory) {
     RequestReadMonitor monitor = new RequestReadMonitor(limits.get());
     channel
         .pipeline()
@@ -120,6 +129,16 @@
         .addLast(new CallerConnection(limits, exchanges, monitor, inFlight, resources, memory));
   }
 
+  private void refuse(Channel channel) {
+    if (refusals.incrementAndGet() > MAXIMUM_REFUSALS) {
+      refusals.decrementAndGet();
+      channel.close();
+      return;
+    }
+    channel.closeFuture().addListener(closed -> refusals.decrementAndGet());
+    channel.pipeline().addLast(new HttpResponseEncoder()).addLast(new ConnectionRefusal(exchanges));
+  }
+
   /**
    * Returns an allocator with which each read goes on until nothing is left, so that a close is
    * read together with the request before it.
--- a/gateway/src/test/java/dev/ibishub/gateway/callers/TestResources.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/TestResources.java
@@ -4,6 +4,7 @@
 
 /** Resources for the connections of tests. */
 public final class TestResources {
+  private static final int CONNECTIONS = 10_000;
   private static final long STALLED_MILLIS = 60_000;
 
   private TestResources() {}
@@ -15,6 +16,7 @@
 
   /** Returns resources with a memory. */
   public static CallerResources of(CallerMemory memory) {
-    return CallerResources.create(new PrometheusRegistry(), memory, () -> STALLED_MILLIS);
+    return CallerResources.create(
+        new PrometheusRegistry(), memory, () -> CONNECTIONS, () -> STALLED_MILLIS);
   }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/UnreadResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/UnreadResponseTest.java
@@ -49,7 +49,7 @@
   void start() {
     CallerLimits limits = new CallerLimits(16_000, 100_000, 60_000, 60_000);
     CallerResources resources =
-        CallerResources.create(new PrometheusRegistry(), memory, () -> stalledMillis);
+        CallerResources.create(new PrometheusRegistry(), memory, () -> 10, () -> stalledMillis);
     server = new CallerServer(() -> limits, LargeResponse::new, resources);
     server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.callers.CallerMemory;
 import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.DescriptorShares;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
@@ -96,6 +97,7 @@
       CallerResources.create(
           PrometheusRegistry.defaultRegistry,
           new CallerMemory(() -> settings.callerMemoryBytes()),
+          () -> shares().callerConnections(settings.maximumCallerConnections()),
           () -> TimeUnit.SECONDS.toMillis(settings.stalledResponseSeconds()));
   private volatile ReadTurns configurationTurns;
   private final EventLoopGroup group =
@@ -274,6 +276,10 @@
         resources);
   }
 
+  private DescriptorShares shares() {
+    return DescriptorShares.of(settings.descriptors());
+  }
+
   /**
    * Starts an entry.
    *
--- a/settings/src/main/java/dev/ibishub/settings/CommonKeys.java
+++ b/settings/src/main/java/dev/ibishub/settings/CommonKeys.java
@@ -41,6 +41,14 @@
               1 << 30,
               "Memory held for callers: connections, requests, responses; 0 for half of the heap.")
           .defaultingTo(0L);
+  static final Key MAXIMUM_CALLER_CONNECTIONS =
+      Key.integer(
+              "maximumCallerConnections",
+              "",
+              0,
+              1_000_000,
+              "Most connections of callers; 0 for what descriptors and memory allow.")
+          .defaultingTo(0L);
   static final Key STALLED_RESPONSE_SECONDS =
       seconds(
           "stalledResponseSeconds",
--- a/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/EntrySettings.java
@@ -30,6 +30,8 @@
  * @param slowSenderSeconds how long the headers, and the body, of a request may take to arrive,
  *     seconds
  * @param callerMemoryBytes the memory that may be held for callers, bytes; 0 for half of the heap
+ * @param maximumCallerConnections the most connections of callers; 0 for what descriptors and
+ *     memory allow
  * @param stalledResponseSeconds the time after which a connection is closed whose caller has read
  *     nothing of a response, seconds
  * @param requestTimeoutSeconds the deadline of requests that set none, seconds from arrival
@@ -56,6 +58,7 @@
     int maximumStreamsPerCaller,
     int slowSenderSeconds,
     int callerMemoryBytes,
+    int maximumCallerConnections,
     int stalledResponseSeconds,
     int requestTimeoutSeconds,
     int drainSeconds,
@@ -111,6 +114,7 @@
               10,
               "How long the headers, and the body, of a request may take to arrive."),
           CommonKeys.CALLER_MEMORY_BYTES,
+          CommonKeys.MAXIMUM_CALLER_CONNECTIONS,
           CommonKeys.STALLED_RESPONSE_SECONDS,
           CommonKeys.seconds(
               "requestTimeoutSeconds", 120, "Deadline of a request that gives none."),
@@ -186,6 +190,7 @@
         root.integer("maximumStreamsPerCaller"),
         root.integer("slowSenderSeconds"),
         root.integer("callerMemoryBytes"),
+        root.integer("maximumCallerConnections"),
         root.integer("stalledResponseSeconds"),
         root.integer("requestTimeoutSeconds"),
         root.integer("drainSeconds"),
--- a/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
+++ b/settings/src/main/java/dev/ibishub/settings/NodeSettings.java
@@ -39,6 +39,11 @@
  *     tolerates
  * @param coldSlack the requests that one second may have beyond that
  * @param callerMemoryBytes the memory that may be held for callers, bytes; 0 for half of the heap
+ * @param maximumCallerConnections the most connections of callers; 0 for what descriptors and
+ *     memory allow
+ * @param maximumPageConnections the most connections of each of the ports for readiness, addresses
+ *     and metrics; 0 for what descriptors allow
+ * @param descriptors the descriptors that the process may open; 0 for what the system says
  * @param maximumHandshakes the most connections to the port for links whose handshake is not
  *     complete
  * @param linkMemoryBytes the memory for incomplete frames of links, bytes; 0 for a quarter of the
@@ -71,6 +76,9 @@
     double coldOverrun,
     double coldSlack,
     int callerMemoryBytes,
+    int maximumCallerConnections,
+    int maximumPageConnections,
+    int descriptors,
     int maximumHandshakes,
     int linkMemoryBytes,
     int stalledResponseSeconds) {
@@ -162,6 +170,21 @@
                   "Requests that one second may have beyond that at a cold target.")
               .defaultingTo(0.0),
           CommonKeys.CALLER_MEMORY_BYTES,
+          CommonKeys.MAXIMUM_CALLER_CONNECTIONS,
+          Key.integer(
+                  "maximumPageConnections",
+                  "",
+                  0,
+                  1_000_000,
+                  "Most connections of each port for pages; 0 for what descriptors allow.")
+              .defaultingTo(0L),
+          Key.integer(
+                  "descriptors",
+                  "",
+                  0,
+                  100_000_000,
+                  "Descriptors that the process may open; 0 for what the system says.")
+              .defaultingTo(0L),
           Key.integer(
                   "maximumHandshakes",
                   "",
@@ -257,6 +280,9 @@
         coldOverrun,
         coldSlack,
         callerMemoryBytes,
+        maximumCallerConnections,
+        maximumPageConnections,
+        descriptors,
         other.maximumHandshakes,
         other.linkMemoryBytes,
         stalledResponseSeconds);
@@ -302,6 +328,9 @@
         root.number("coldOverrun"),
         root.number("coldSlack"),
         root.integer("callerMemoryBytes"),
+        root.integer("maximumCallerConnections"),
+        root.integer("maximumPageConnections"),
+        root.integer("descriptors"),
         root.integer("maximumHandshakes"),
         root.integer("linkMemoryBytes"),
         root.integer("stalledResponseSeconds"));
