Answer one request for a page at a time, and bound their connections

Callers saw: while connections to the ports for addresses, readiness or metrics send requests ahead without end, or bodies that never end, requests on the port for callers get no answer, up to 12 s after the crowd has left.

Cause: PageServer answered all that was sent ahead, whatever was unread, on the event loop that callers' requests share, collected 16 KiB of each request without a sum, and had no bound on connections. Direct memory was used up, and the loop waited for it in Bits.reserveMemory.

Fix: a connection to a page is read for its next request only once the response before has been written, and 20 ms later; requests with bodies are rejected; connections are bounded as callers' are (maximumPageConnections), and heads and responses count in the same account of memory. They have places of their own, so that the directory and readiness answer while callers' connections are full.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/PageServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PageServer.java
@@ -1,26 +1,21 @@
 package dev.ibishub.gateway.http;
 
+import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.ConnectionMemory;
+import dev.ibishub.gateway.callers.ResponseMemory;
+import dev.ibishub.gateway.callers.StrictRequestDecoder;
+import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.flow.FlowControlHandler;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 
 /**
@@ -28,11 +23,11 @@
  * Thread-safe.
  */
 public final class PageServer {
-  private static final int MAXIMUM_REQUEST_BYTES = 16_384;
   private static final int BACKLOG = 512;
 
-  /** Time without any received bytes after which a connection is closed, seconds. */
-  private static final int IDLE_SECONDS = 30;
+  /** Bounds how many small requests are decoded ahead. */
+  private static final RecvByteBufAllocator READ_BUFFERS =
+      new AdaptiveRecvByteBufAllocator(64, 512, 1_024).maxMessagesPerRead(1);
 
   private PageServer() {}
 
@@ -55,27 +50,30 @@
    *
    * @param group the event loops that serve connections
    * @param address IP address and port
+   * @param resources what the port may take of the process
    * @param pages makes the page for a request's path and query; must not block
    * @return the listening channel
    */
   public static Channel listen(
-      EventLoopGroup group, InetSocketAddress address, Function<String, Page> pages) {
+      EventLoopGroup group,
+      InetSocketAddress address,
+      CallerResources resources,
+      Function<String, Page> pages) {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.AUTO_READ, false)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, READ_BUFFERS)
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAXIMUM_REQUEST_BYTES))
-                    .addLast(new PageHandler(pages));
+                resources
+                    .admit(channel)
+                    .ifPresentOrElse(memory -> addHandlers(channel, memory, pages), channel::close);
               }
             })
         .bind(address)
@@ -83,37 +81,14 @@
         .channel();
   }
 
-  private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private final Function<String, Page> pages;
-
-    PageHandler(Function<String, Page> pages) {
-      this.pages = pages;
-    }
-
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      boolean isReadable = request.decoderResult().isSuccess();
-      Page page = isReadable ? pages.apply(request.uri()) : Page.text(400, "unreadable request\n");
-      byte[] body = page.text().getBytes(StandardCharsets.UTF_8);
-      var response =
-          new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1,
-              HttpResponseStatus.valueOf(page.status()),
-              Unpooled.wrappedBuffer(body));
-      response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-      boolean keepAlive = isReadable && HttpUtil.isKeepAlive(request);
-      HttpUtil.setKeepAlive(response, keepAlive);
-      var written = context.writeAndFlush(response);
-      if (!keepAlive) {
-        written.addListener(ChannelFutureListener.CLOSE);
-      }
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      // The client disconnected or timed out, so no response can be sent.
-      context.close();
-    }
+  private static void addHandlers(
+      Channel channel, ConnectionMemory memory, Function<String, Page> pages) {
+    channel
+        .pipeline()
+        .addLast(new StrictRequestDecoder(CallerLimits.DEFAULTS, memory))
+        .addLast(new HttpResponseEncoder())
+        .addLast(new ResponseMemory(memory))
+        .addLast(new FlowControlHandler())
+        .addLast(new PageConnection(pages));
   }
 }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -280,6 +280,11 @@
     return DescriptorShares.of(settings.descriptors());
   }
 
+  private CallerResources pages(String port) {
+    return resources.forPort(
+        port, () -> shares().pageConnections(settings.maximumPageConnections()));
+  }
+
   /**
    * Starts an entry.
    *
@@ -307,10 +312,12 @@
     PageServer.listen(
         group,
         SocketAddresses.parse(settings.readinessAddress().orElseThrow()),
+        pages("readiness"),
         AddressPages.readiness(this::isReady));
     PageServer.listen(
         group,
         SocketAddresses.parse(settings.directoryAddress().orElseThrow()),
+        pages("directory"),
         AddressPages.addresses(
             () -> mesh.callerAddresses(MonotonicClock.millis()),
             () -> settings.addressValiditySeconds()));
@@ -318,6 +325,7 @@
       PageServer.listen(
           group,
           new InetSocketAddress(settings.host(), settings.metricsPort()),
+          pages("metrics"),
           new MetricsText(PrometheusRegistry.defaultRegistry, this::updateMetrics));
     }
     ProcessSignals.onStop(() -> stop.run(server));
