Give what faces callers a room of its own

CallerServer, CallerConnection, CallerResponse, CallerExchange, RequestPipeline, RequestReadMonitor, ConnectionRefusal, RequestMemory and StallDetector move to gateway.callers, beside the account of memory and the bound on connections, with their tests.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerConnection.java
@@ -1,12 +1,8 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.gateway.callers.CallerLimitEvent;
 import dev.ibishub.gateway.callers.CallerMemory.Kind;
-import dev.ibishub.gateway.callers.CallerResources;
-import dev.ibishub.gateway.callers.ConnectionMemory;
-import dev.ibishub.gateway.callers.HeadSize;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerExchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerExchange.java
@@ -1,7 +1,6 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import dev.ibishub.core.ResultCode;
-import dev.ibishub.gateway.callers.ConnectionMemory;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
@@ -22,7 +22,7 @@
     CallerMetrics metrics,
     LongSupplier stalledMillis) {
   /** Memory that an open connection takes by itself, bytes. */
-  public static final long CONNECTION_BYTES = 4 << 10;
+  private static final long CONNECTION_BYTES = 4 << 10;
 
   /**
    * Creates resources.
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerResponse.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResponse.java
@@ -1,4 +1,4 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import dev.ibishub.core.ResultCode;
 import io.netty.buffer.Unpooled;
@@ -58,7 +58,7 @@
   }
 
   /** Whether the head has been written, after which no other response can be given. */
-  boolean isHeadWritten() {
+  public boolean isHeadWritten() {
     return isHeadWritten;
   }
 
@@ -71,7 +71,7 @@
    * Whether more bytes can be written without exceeding the high watermark of the connection's
    * write buffer.
    */
-  boolean isWritable() {
+  public boolean isWritable() {
     return channel.isWritable();
   }
 
@@ -95,7 +95,7 @@
    *
    * @param retryMillis value of {@code Retry-After}, milliseconds; 0 to send none
    */
-  void writeRefusal(ResultCode code, long retryMillis) {
+  public void writeRefusal(ResultCode code, long retryMillis) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     if (retryMillis > 0) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerServer.java
@@ -1,10 +1,5 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
-import dev.ibishub.gateway.callers.CallerLimitEvent;
-import dev.ibishub.gateway.callers.CallerResources;
-import dev.ibishub.gateway.callers.ConnectionMemory;
-import dev.ibishub.gateway.callers.ResponseMemory;
-import dev.ibishub.gateway.callers.StrictRequestDecoder;
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -55,25 +50,6 @@
   private final AtomicInteger refusals = new AtomicInteger();
   private Channel serverChannel;
 
-  /**
-   * Creates a server of the users' platform.
-   *
-   * @param resources what callers may take of the process
-   */
-  public CallerServer(RequestContext context, CallerResources resources) {
-    this(
-        context::limits,
-        (channel, memory, request, onDone) ->
-            new Exchange(
-                context,
-                channel,
-                new AttemptRelay.Buffering(
-                    memory, () -> resources.metrics().count(CallerLimitEvent.RESPONSE_UNBUFFERED)),
-                request,
-                onDone),
-        resources);
-  }
-
   /**
    * Creates a server.
    *
--- a/gateway/src/main/java/dev/ibishub/gateway/front/ConnectionRefusal.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/ConnectionRefusal.java
@@ -1,4 +1,4 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import dev.ibishub.core.ResultCode;
 import io.netty.channel.ChannelFuture;
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/HeadSize.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/HeadSize.java
@@ -5,14 +5,14 @@
 import java.util.Map;
 
 /** Estimates of the memory that the head of a request or response takes. */
-public final class HeadSize {
+final class HeadSize {
   /** Memory of the objects of one header, besides its characters, bytes. */
   static final int HEADER_BYTES = 160;
 
   private HeadSize() {}
 
   /** Returns the memory that headers take, bytes. */
-  public static long memoryOf(HttpHeaders headers) {
+  static long memoryOf(HttpHeaders headers) {
     long bytes = 0;
     Iterator<Map.Entry<CharSequence, CharSequence>> each = headers.iteratorCharSequence();
     while (each.hasNext()) {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestMemory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/RequestMemory.java
@@ -1,7 +1,6 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import dev.ibishub.gateway.callers.CallerMemory.Kind;
-import dev.ibishub.gateway.callers.ConnectionMemory;
 import java.util.EnumMap;
 import java.util.Map;
 
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestPipeline.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/RequestPipeline.java
@@ -1,4 +1,4 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.handler.codec.http.FullHttpRequest;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/StallDetector.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/StallDetector.java
@@ -1,4 +1,4 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 /** Notices that a caller reads nothing of its responses. Not thread-safe. */
 final class StallDetector {
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -7,6 +7,8 @@
 import dev.ibishub.core.serving.TargetChoice;
 import dev.ibishub.core.serving.TargetLoad;
 import dev.ibishub.core.serving.crashes.SendPermission;
+import dev.ibishub.gateway.callers.CallerExchange;
+import dev.ibishub.gateway.callers.CallerResponse;
 import dev.ibishub.gateway.model.EngineProfile;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Workspace;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/RequestContext.java
@@ -1,5 +1,8 @@
 package dev.ibishub.gateway.front;
 
+import dev.ibishub.gateway.callers.CallerLimitEvent;
+import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.ServingConfiguration;
 import java.util.Optional;
@@ -41,4 +44,19 @@
   CallerLimits limits() {
     return configuration.get().map(ServingConfiguration::limits).orElse(CallerLimits.DEFAULTS);
   }
+
+  /**
+   * Creates a server for callers' requests that share this state.
+   *
+   * @param resources what callers may take of the process
+   */
+  public CallerServer newServer(CallerResources resources) {
+    Runnable onUnbuffered = () -> resources.metrics().count(CallerLimitEvent.RESPONSE_UNBUFFERED);
+    return new CallerServer(
+        this::limits,
+        (channel, memory, request, onDone) ->
+            new Exchange(
+                this, channel, new AttemptRelay.Buffering(memory, onUnbuffered), request, onDone),
+        resources);
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/RequestPipelineTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/RequestPipelineTest.java
@@ -1,9 +1,7 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.gateway.callers.CallerMemory;
-import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
--- a/gateway/src/test/java/dev/ibishub/gateway/front/StallDetectorTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/StallDetectorTest.java
@@ -1,4 +1,4 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/gateway/src/test/java/dev/ibishub/gateway/front/UnreadResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/UnreadResponseTest.java
@@ -1,11 +1,8 @@
-package dev.ibishub.gateway.front;
+package dev.ibishub.gateway.callers;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.ibishub.gateway.callers.CallerMemory;
 import dev.ibishub.gateway.callers.CallerMemory.Kind;
-import dev.ibishub.gateway.callers.CallerResources;
-import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.model.CallerLimits;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
--- a/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/AdmissionFrontTest.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.TargetReport;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.callers.TestResources;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.EngineProfile;
@@ -124,8 +125,7 @@
             WorkspaceShares.EQUAL,
             registry);
     server =
-        new CallerServer(
-            new RequestContext(
+        new RequestContext(
                 new PlainDialect(),
                 () -> Optional.of(configuration),
                 targets,
@@ -141,8 +141,8 @@
                 () -> 1,
                 new Stop(),
                 new RequestMetrics(new PrometheusRegistry()),
-                MonotonicClock.millis()),
-            TestResources.ofHeap());
+                MonotonicClock.millis())
+            .newServer(TestResources.ofHeap());
     try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
       port = free.getLocalPort();
     }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/EntryFleet.java
@@ -6,6 +6,7 @@
 import dev.ibishub.core.serving.RetryLimits;
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.callers.TestResources;
 import dev.ibishub.gateway.membership.PeerMesh;
 import dev.ibishub.gateway.model.CallerLimits;
@@ -71,7 +72,7 @@
   private final class Entry {
     private final CrashDetector crashes = new CrashDetector(this::broadcast);
     private final TargetDirectory targets = new TargetDirectory("z", crashes::onIncarnationEnded);
-    private final CallerServer server = new CallerServer(context(), TestResources.ofHeap());
+    private final CallerServer server = context().newServer(TestResources.ofHeap());
     private final int port;
 
     Entry() throws IOException {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TestEntry.java
@@ -7,6 +7,7 @@
 import dev.ibishub.core.serving.SharedLimits;
 import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.callers.CallerMemory;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.callers.TestResources;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.gateway.model.Route;
@@ -131,8 +132,7 @@
     IntStream.range(0, EARLIER_REQUESTS)
         .forEach(any -> budgets.onRequest(SERVICE, MonotonicClock.millis()));
     server =
-        new CallerServer(
-            new RequestContext(
+        new RequestContext(
                 new FailingDialect(),
                 configuration,
                 targets,
@@ -154,8 +154,8 @@
                 this::countEntries,
                 stop,
                 new RequestMetrics(new PrometheusRegistry()),
-                MonotonicClock.millis()),
-            TestResources.of(memory));
+                MonotonicClock.millis())
+            .newServer(TestResources.of(memory));
     try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
       port = free.getLocalPort();
     }
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -10,13 +10,13 @@
 import dev.ibishub.core.serving.admission.WorkspaceShares;
 import dev.ibishub.gateway.callers.CallerMemory;
 import dev.ibishub.gateway.callers.CallerResources;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.callers.DescriptorShares;
 import dev.ibishub.gateway.experts.ExpertController;
 import dev.ibishub.gateway.experts.LoadRelay;
 import dev.ibishub.gateway.experts.RankLinks;
 import dev.ibishub.gateway.experts.RankPaths;
 import dev.ibishub.gateway.front.AdmissionMode;
-import dev.ibishub.gateway.front.CallerServer;
 import dev.ibishub.gateway.front.CrashDetector;
 import dev.ibishub.gateway.front.RequestContext;
 import dev.ibishub.gateway.front.RequestMetrics;
@@ -259,8 +259,7 @@
   }
 
   private CallerServer newServer() {
-    return new CallerServer(
-        new RequestContext(
+    return new RequestContext(
             new HeaderDialect(),
             this::configurationForRequests,
             targets,
@@ -272,8 +271,8 @@
             () -> mesh.entries(MonotonicClock.millis()),
             stop,
             new RequestMetrics(PrometheusRegistry.defaultRegistry),
-            startedAt),
-        resources);
+            startedAt)
+        .newServer(resources);
   }
 
   private DescriptorShares shares() {
--- a/node/src/main/java/dev/ibishub/node/GracefulStop.java
+++ b/node/src/main/java/dev/ibishub/node/GracefulStop.java
@@ -1,7 +1,7 @@
 package dev.ibishub.node;
 
 import com.google.common.flogger.FluentLogger;
-import dev.ibishub.gateway.front.CallerServer;
+import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.front.StopPlan;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
