--- a/node/src/test/java/dev/ibishub/node/CrowdedEntry.java
+++ b/node/src/test/java/dev/ibishub/node/CrowdedEntry.java
@@ -62,6 +62,12 @@
     deployment.publish(1, "pages", "key-1");
     deployment.store().put("keyed.servers", "t-1", target.announcement("pages"));
     metrics = new InetSocketAddress(HOST, deployment.freshPort(HOST));
+    startEntry();
+    deployment.endFirstStart();
+  }
+
+  /** Starts the entry, at new ports but for that of metrics, and waits until it serves. */
+  void startEntry() throws IOException, InterruptedException {
     deployment.startEntry(ENTRY, HOST, HOST, ",\"metricsPort\":" + metrics.getPort());
     deployment.await("entry ready", () -> deployment.readiness(ENTRY) == 200);
     deployment.await("first answer", this::isAnswered);
