Drop what a closed connection has buffered before others are read

Callers saw: an entry that many clients press ends for lack of memory, although it closes the connections that hold the most.

Cause: a connection that is closed for its memory counts as free at once, but its incomplete head, and what its target's response has buffered, went only after the event loop had read all other connections that were ready in the same turn.

That this is the whole cause is read from the code, not shown by a heap dump.

Fix: what the decoder and the relays have buffered is dropped with the connection, on its event loop.

--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
@@ -68,7 +69,9 @@
       metrics.count(CallerLimitEvent.CONNECTION_REFUSED);
       return Optional.empty();
     }
-    ConnectionMemory opened = memory.open(() -> close(channel, CallerLimitEvent.MEMORY_CLOSED));
+    AtomicReference<ConnectionMemory> own = new AtomicReference<>();
+    ConnectionMemory opened = memory.open(() -> closeForMemory(channel, own.get()));
+    own.set(opened);
     opened.hold(Kind.CONNECTION, CONNECTION_BYTES);
     channel
         .closeFuture()
@@ -81,6 +84,15 @@
     return Optional.of(opened);
   }
 
+  private void closeForMemory(Channel channel, ConnectionMemory held) {
+    close(channel, CallerLimitEvent.MEMORY_CLOSED);
+    if (channel.eventLoop().inEventLoop()) {
+      held.dropBuffers();
+    } else {
+      channel.eventLoop().execute(held::dropBuffers);
+    }
+  }
+
   private void close(Channel channel, CallerLimitEvent cause) {
     metrics.count(cause);
     channel.close();
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/ConnectionMemory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/ConnectionMemory.java
@@ -2,7 +2,10 @@
 
 import dev.ibishub.gateway.callers.CallerMemory.Kind;
 import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The part of one connection in the {@link CallerMemory} of its process. All that is reserved or
@@ -11,6 +14,7 @@
 public final class ConnectionMemory {
   private final CallerMemory account;
   private final Runnable close;
+  private final Set<Runnable> buffers = new HashSet<>();
   private final Map<Kind, Long> held = new EnumMap<>(Kind.class);
   private boolean isClosing;
   private boolean isClosed;
@@ -53,6 +57,35 @@
     account.hold(this, kind, bytes).ifPresent(largest -> largest.close.run());
   }
 
+  /**
+   * Adds a buffer that is dropped when the connection is closed to make room for others.
+   *
+   * @param drop frees the buffer at once; runs on the event loop of the connection, which would
+   *     otherwise free it only after all that it reads in the same turn
+   */
+  public void addBuffer(Runnable drop) {
+    synchronized (account) {
+      buffers.add(drop);
+    }
+  }
+
+  /** Removes a buffer. */
+  public void removeBuffer(Runnable drop) {
+    synchronized (account) {
+      buffers.remove(drop);
+    }
+  }
+
+  /** Drops all buffers; must run on the event loop of the connection. */
+  void dropBuffers() {
+    List<Runnable> dropped;
+    synchronized (account) {
+      dropped = List.copyOf(buffers);
+      buffers.clear();
+    }
+    dropped.forEach(Runnable::run);
+  }
+
   /** Gives memory back. */
   public void release(Kind kind, long bytes) {
     account.hold(this, kind, -bytes);
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/StrictRequestDecoder.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/StrictRequestDecoder.java
@@ -41,6 +41,21 @@
     this.memory = memory;
   }
 
+  /** Starts to hold memory; what is held is dropped with the decoder. */
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    memory.addBuffer(() -> drop(context));
+  }
+
+  /** Removes this decoder with all that it has read, so that nothing more is decoded. */
+  private void drop(ChannelHandlerContext context) {
+    hold(0);
+    isClosed = true;
+    if (!context.isRemoved()) {
+      context.pipeline().remove(this);
+    }
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
--- a/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/AttemptRelay.java
@@ -46,10 +46,11 @@
 
   private final RequestDialect dialect;
   private final Buffering buffering;
+  private final Runnable drop = this::drop;
   private final Listener listener;
   private final String attemptId;
   private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
-  private final EventSplitter splitter = new EventSplitter();
+  private EventSplitter splitter = new EventSplitter();
   private TargetCall call;
   private TargetResponse response;
   private HttpHeaders headers;
@@ -126,6 +127,7 @@
       Listener listener) {
     String attemptId = dialect.read(request).attemptId();
     AttemptRelay relay = new AttemptRelay(dialect, buffering, attemptId, listener);
+    buffering.memory().addBuffer(relay.drop);
     relay.call = TargetCall.start(loop, address, request, relay);
     return relay;
   }
@@ -279,9 +281,17 @@
 
   private void end() {
     isOver = true;
+    buffering.memory().removeBuffer(drop);
     hold(0);
   }
 
+  /** Frees all that is buffered, as the caller's connection is being closed. */
+  private void drop() {
+    end();
+    buffered = new ByteArrayOutputStream();
+    splitter = new EventSplitter();
+  }
+
   private void onEvents(byte[] bytes) {
     for (EventSplitter.Event event : splitter.feed(bytes)) {
       if (isOver) {
--- a/gateway/src/test/java/dev/ibishub/gateway/callers/CallerMemoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/CallerMemoryTest.java
@@ -77,6 +77,25 @@
     assertThat(closed).containsExactly("first", "second");
   }
 
+  // Guards against connections that become ready in one turn of an event loop, which fill the heap
+  // as it frees what those closed before had buffered only after that turn.
+  @Test
+  void buffersOfClosedConnectionAreDroppedOnce() {
+    List<String> dropped = new ArrayList<>();
+    List<ConnectionMemory> opened = new ArrayList<>();
+    ConnectionMemory connection = account.open(() -> opened.get(0).dropBuffers());
+    opened.add(connection);
+    Runnable removed = () -> dropped.add("removed");
+    connection.addBuffer(() -> dropped.add("buffer"));
+    connection.addBuffer(removed);
+    connection.removeBuffer(removed);
+
+    connection.hold(Kind.RESPONSE, LIMIT);
+    connection.hold(Kind.RESPONSE, LIMIT);
+
+    assertThat(dropped).containsExactly("buffer");
+  }
+
   // Guards against large requests, and requests sent ahead, that keep out all others.
   @Test
   void roomIsLeftToSmallRequestsThatCanRun() {
