Read a target's address as digits, before its record is kept

What callers saw: while one record of another writer stood in the list of targets, with the address 127.0.0.1:70000 and an id that sorts before the targets' ids, entries that had started since refused every request with 503 and said that they were ready.

Cause: the decoder took any number as a port and any text as a host. The directory kept the target and built its socket address only later, where the JDK fails on such a port; from then on the record of each sound target failed, too, as its address was compared with the kept one. A host that is no IP number was looked up as a name at each use, on an event loop and under the directory's lock, and requests were sent wherever the name led.

Target holds the resolved address, so none without one can exist. The directory computes its indexes before it keeps an announcement, and replaces them as a whole.

Why it holds: a record without a usable address ends in the decoder, whose failure concerns this record alone, and nothing is left that resolves a name.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -11,6 +11,7 @@
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -70,9 +71,7 @@
   private final ColdListener coldListener;
   private final Map<String, ListedTarget> known = new HashMap<>();
   private final Map<String, RetainedLoad> retainedLoadsByIncarnation = new HashMap<>();
-  private volatile Map<String, List<ListedTarget>> usableByService = Map.of();
-  private volatile Map<String, List<ListedTarget>> byHost = Map.of();
-  private volatile Set<String> evacuatedServices = Set.of();
+  private volatile Indexes indexes = new Indexes(Map.of(), Set.of(), Map.of());
   private volatile EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private final Map<String, GroupOpenness> groups = new ConcurrentHashMap<>();
 
@@ -93,7 +92,7 @@
 
     /** Returns the address for requests. */
     InetSocketAddress address() {
-      return new InetSocketAddress(target.host(), target.port());
+      return target.address();
     }
 
     /**
@@ -126,6 +125,18 @@
 
   private record RetainedLoad(TargetLoad load, long at) {}
 
+  /**
+   * What is looked up for requests and reports, computed from all known targets.
+   *
+   * @param usableByService the targets that take new requests
+   * @param evacuatedServices the services whose targets are all in evacuated zones
+   * @param byHost the targets at each IP address
+   */
+  private record Indexes(
+      Map<String, List<ListedTarget>> usableByService,
+      Set<String> evacuatedServices,
+      Map<String, List<ListedTarget>> byHost) {}
+
   /**
    * Creates an empty directory.
    *
@@ -201,26 +212,30 @@
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
         new ListedTarget(target.withColdRemainingMillis(0), load, Long.MAX_VALUE, position);
+    boolean changesIndexes =
+        before == null || !before.target().equals(announced.target()) || isAddressShared(announced);
+    Indexes changed = changesIndexes ? indexesWith(announced) : indexes;
     if (isNewIncarnation) {
       predecessors(announced).map(each -> each.target().incarnation()).forEach(onIncarnationEnded);
     }
     known.put(target.id(), announced);
+    indexes = changed;
     if (isNewIncarnation || before.target().leaving() != target.leaving()) {
       logger.atInfo().log(
           "%s",
           LogEvent.of("target.announced")
               .with("target", target.id())
               .with("service", target.service())
-              .with("address", target.host() + ":" + target.port())
+              .with("address", NetUtil.toSocketAddressString(target.address()))
               .with("leaving", target.leaving())
               .with("started_ms", target.startedAtMillis()));
     }
-    boolean isAddressShared =
-        known.values().stream().filter(each -> each.address().equals(announced.address())).count()
-            > 1;
-    if (before == null || !before.target().equals(announced.target()) || isAddressShared) {
-      updateIndexes();
-    }
+  }
+
+  private boolean isAddressShared(ListedTarget announced) {
+    return known.values().stream()
+        .filter(each -> !each.target().id().equals(announced.target().id()))
+        .anyMatch(each -> each.address().equals(announced.address()));
   }
 
   /** Takes in how much longer a target is cold, milliseconds, as it said in a response. */
@@ -244,7 +259,7 @@
    * another incarnation at its address, was not cold until now or a short time ago.
    */
   private boolean wasInUse(Target target, long now) {
-    InetSocketAddress address = new InetSocketAddress(target.host(), target.port());
+    InetSocketAddress address = target.address();
     boolean isKnownAsWarm =
         known.values().stream()
             .filter(
@@ -389,7 +404,7 @@
    * Whether a service has targets that would take requests, but all of them are in evacuated zones.
    */
   public boolean isEvacuated(String service) {
-    return evacuatedServices.contains(service);
+    return indexes.evacuatedServices().contains(service);
   }
 
   /** Whether a target takes no requests because its zone is evacuated. */
@@ -404,7 +419,7 @@
 
   /** Returns the targets of a service that take new requests; empty if there are none. */
   public List<ListedTarget> usable(String service) {
-    return usableByService.getOrDefault(service, List.of());
+    return indexes.usableByService().getOrDefault(service, List.of());
   }
 
   /** Chooses one of the usable targets of a service, as {@link TargetChoice} decides. */
@@ -457,12 +472,22 @@
 
   /** Returns the targets at an IP address; empty if there are none. */
   public List<ListedTarget> atHost(String host) {
-    return byHost.getOrDefault(host, List.of());
+    return indexes.byHost().getOrDefault(host, List.of());
   }
 
   private void updateIndexes() {
+    indexes = indexesOf(known.values());
+  }
+
+  private Indexes indexesWith(ListedTarget announced) {
+    Map<String, ListedTarget> changed = new HashMap<>(known);
+    changed.put(announced.target().id(), announced);
+    return indexesOf(changed.values());
+  }
+
+  private Indexes indexesOf(Collection<ListedTarget> all) {
     Collection<ListedTarget> current =
-        known.values().stream()
+        all.stream()
             .collect(Collectors.toMap(ListedTarget::address, each -> each, ListedTarget::later))
             .values();
     Map<Boolean, Map<String, List<ListedTarget>>> byEvacuation =
@@ -477,12 +502,12 @@
     Map<String, List<ListedTarget>> evacuated = byEvacuation.get(true);
     usable.forEach(
         (service, targets) -> linkLoads(targets, evacuated.getOrDefault(service, List.of())));
-    usableByService = Map.copyOf(usable);
-    evacuatedServices =
+    return new Indexes(
+        Map.copyOf(usable),
         evacuated.keySet().stream()
             .filter(service -> !usable.containsKey(service))
-            .collect(Collectors.toUnmodifiableSet());
-    byHost = current.stream().collect(Collectors.groupingBy(each -> each.target().host()));
+            .collect(Collectors.toUnmodifiableSet()),
+        current.stream().collect(Collectors.groupingBy(each -> each.target().host())));
   }
 
   /** Tells the usable targets of a service which others only step with them. */
--- a/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/Target.java
@@ -1,5 +1,8 @@
 package dev.ibishub.gateway.model;
 
+import dev.ibishub.wire.NumericAddresses;
+import io.netty.util.NetUtil;
+import java.net.InetSocketAddress;
 import java.util.Objects;
 
 /**
@@ -7,8 +10,7 @@
  *
  * @param id unique id; reused only by the same target after a restart
  * @param service name of the service that it belongs to
- * @param host its IP address
- * @param port the port for requests
+ * @param address its address for requests, resolved
  * @param zone its failure domain
  * @param slots number of requests that it runs concurrently; 0 if not announced
  * @param leaving whether it is draining and takes no new requests
@@ -20,24 +22,26 @@
 public record Target(
     String id,
     String service,
-    String host,
-    int port,
+    InetSocketAddress address,
     String zone,
     int slots,
     boolean leaving,
     long startedAtMillis,
     long coldRemainingMillis) {
-  /** Checks that the id, service and address are present and the port is valid. */
+  /** Checks that the id, service and address are present and the address is usable. */
   public Target {
     Objects.requireNonNull(id);
     Objects.requireNonNull(service);
-    Objects.requireNonNull(host);
-    if (port < 1) {
-      throw new IllegalArgumentException("target " + id + " has port " + port);
+    if (address.isUnresolved() || address.getPort() < 1) {
+      throw new IllegalArgumentException("target " + id + " has address " + address);
     }
   }
 
-  /** Creates a target that is not cold. */
+  /**
+   * Creates a target that is not cold.
+   *
+   * @throws IllegalArgumentException if the host is no IP number or the port is invalid
+   */
   public Target(
       String id,
       String service,
@@ -47,13 +51,22 @@
       int slots,
       boolean leaving,
       long startedAtMillis) {
-    this(id, service, host, port, zone, slots, leaving, startedAtMillis, 0);
+    this(id, service, NumericAddresses.of(host, port), zone, slots, leaving, startedAtMillis, 0);
+  }
+
+  /** Returns the target's IP number. */
+  public String host() {
+    return NetUtil.toAddressString(address.getAddress());
+  }
+
+  /** Returns the port for requests. */
+  public int port() {
+    return address.getPort();
   }
 
   /** Returns this target with another remaining time of its cold period, milliseconds. */
   public Target withColdRemainingMillis(long remainingMillis) {
-    return new Target(
-        id, service, host, port, zone, slots, leaving, startedAtMillis, remainingMillis);
+    return new Target(id, service, address, zone, slots, leaving, startedAtMillis, remainingMillis);
   }
 
   /** Returns an identifier of this incarnation: it changes when the target restarts. */
@@ -69,8 +82,7 @@
     return other instanceof Target target
         && id.equals(target.id)
         && service.equals(target.service)
-        && host.equals(target.host)
-        && port == target.port
+        && address.equals(target.address)
         && Objects.equals(zone, target.zone)
         && slots == target.slots
         && leaving == target.leaving
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -1,6 +1,7 @@
 package dev.ibishub.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import dev.ibishub.core.entries.LogPosition;
 import dev.ibishub.core.serving.ColdLimit;
@@ -121,6 +122,23 @@
     assertThat(directory.usable("pages").get(0).load().isSuspended(1)).isFalse();
   }
 
+  // Guards against a target without a usable address that is listed, and makes the records of all
+  // others fail.
+  @Test
+  void targetWithoutUsableAddressIsNotListed() {
+    assertThatThrownBy(() -> directory.onAnnounced(at("odd", 70_000, 0), new LogPosition(1, 1)))
+        .isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(
+            () ->
+                directory.onAnnounced(
+                    new Target("odd", "pages", "not-an-address", 80, "zone-a", 6, false, 1),
+                    new LogPosition(1, 2)))
+        .isInstanceOf(IllegalArgumentException.class);
+    directory.onAnnounced(at("sound", 80, 0), new LogPosition(1, 3));
+
+    assertThat(directory.usable("pages")).hasSize(1);
+  }
+
   private static Target at(String id, int port, long startedAt) {
     return new Target(id, "pages", "10.0.0.1", port, "zone-a", 6, false, startedAt);
   }
--- /dev/null
+++ b/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
@@ -0,0 +1,129 @@
+package dev.ibishub.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.platform.standins.Deployment;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Runs entry processes that start while a record of another writer stands among those of the
+ * targets.
+ */
+final class OddRecordEndToEndTest {
+  private static final int REQUESTS = 40;
+
+  /** Sorts before the ids of the targets, so that entries read the record first. */
+  private static final String ODD_ID = "a-odd";
+
+  private static final List<String> ENTRIES = List.of("entry-1", "entry-2");
+
+  private final AtomicInteger connections = new AtomicInteger();
+  private final ServerSocket decoy;
+  @TempDir private Path folder;
+  private Deployment deployment;
+
+  OddRecordEndToEndTest() throws IOException {
+    decoy = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    CompletableFuture.runAsync(this::countConnections);
+    deployment = new Deployment(programWithNames("not-an-address", "127.0.0.300", "127.1"));
+    deployment.publish(3, "pages", "key-1");
+    deployment.startTarget("i-1", "127.0.0.1", "pages");
+    deployment.startTarget("i-2", "127.0.0.1", "pages");
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    deployment.close();
+    decoy.close();
+  }
+
+  /** Returns the program with a resolver that finds these names at the loopback address. */
+  private Deployment.Programs programWithNames(String... names) throws IOException {
+    Path hosts = Files.writeString(folder.resolve("hosts"), "127.0.0.1 " + String.join(" ", names));
+    Deployment.Programs program = Deployment.Programs.onThisClassPath(NodeMain.class.getName());
+    return new Deployment.Programs(
+        name -> {
+          List<String> command = new ArrayList<>(program.command().apply(name));
+          command.add(command.indexOf("-cp"), "-Djdk.net.hosts.file=" + hosts);
+          return command;
+        });
+  }
+
+  private void countConnections() {
+    try {
+      while (true) {
+        Socket accepted = decoy.accept();
+        connections.incrementAndGet();
+        accepted.close();
+      }
+    } catch (IOException e) {
+      // The test is over.
+    }
+  }
+
+  private void startEntries() throws IOException, InterruptedException {
+    deployment.startEntry("entry-1", "127.0.1.1", "127.0.1.1");
+    deployment.startEntry("entry-2", "127.0.1.2", "127.0.1.1");
+    for (String entry : ENTRIES) {
+      deployment.await(
+          "entries listed",
+          () -> ENTRIES.stream().map(deployment::callerAddress).allMatch(resolve(entry)::contains));
+    }
+  }
+
+  private String resolve(String entry) {
+    try {
+      return deployment.resolve(entry);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static String record(String service, String address) {
+    return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"slots\":4,\"state\":\"ready\","
+            .formatted(service, address)
+        + "\"sequence\":1}";
+  }
+
+  /** Sends requests that may run once to both entries in turn, and counts those that are served. */
+  private int countServed() throws IOException, InterruptedException {
+    int served = 0;
+    for (int request = 0; request < REQUESTS; request++) {
+      String entry = ENTRIES.get(request % ENTRIES.size());
+      served += deployment.call(entry, "POST", "/once/a", "").statusCode() == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  // Guards against a service that stops, or requests that are sent elsewhere, after all entries
+  // have restarted while another writer's record names an address that is none.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"127.0.0.1:70000", "not-an-address:PORT", "127.0.0.300:PORT", "127.1:PORT"})
+  void recordWithoutAddressIsNoTarget(String address) throws IOException, InterruptedException {
+    String port = Integer.toString(decoy.getLocalPort());
+    deployment.store().put("keyed.servers", ODD_ID, record("pages", address.replace("PORT", port)));
+    startEntries();
+
+    assertThat(countServed()).isEqualTo(REQUESTS);
+    assertThat(connections).hasValue(0);
+  }
+}
