Displace a target only by one that can have replaced it

What callers saw: records of another writer, under ids of its own, bore the addresses of the targets and a service that no configuration names, or a later start. After all entries had restarted, no request was served for as long as those records stood, though the targets renewed theirs.

Cause: of all records with one address the directory kept only the one with the latest start or, where that isn't stated, the newest, whatever its service and whether the other target still renewed its record. Entries that don't read the store were never told of those renewals.

Change: a record whose service the configuration doesn't name takes no part. A target whose record is renewed after another one with its address was announced stays listed; one late write proves nothing, as the store may carry it out seconds later. A target that isn't at its address, as a response has shown, displaces none. While two records share an address, the reading entry passes their renewals on.

Why it holds: a predecessor has ended before its successor starts, so it can't renew its record later; a live target does within its heartbeat interval. The existing tests of reused addresses are unchanged, and so is who gets one.

--- a/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
+++ b/core/src/main/java/dev/ibishub/core/serving/TargetLoad.java
@@ -71,6 +71,7 @@
   private long suspensionMillis = FIRST_SUSPENSION_MILLIS;
   private long backOffUntil = Long.MIN_VALUE;
   private boolean saysLeaving;
+  private boolean isMisdirected;
   private long coldUntil = Long.MIN_VALUE;
   private BooleanSupplier hasColdLimit = () -> true;
 
@@ -207,6 +208,16 @@
     return saysLeaving;
   }
 
+  /** Records that another target answered at its address, as its record names the wrong one. */
+  public synchronized void onMisdirected() {
+    isMisdirected = true;
+  }
+
+  /** Whether another target answered at its address. */
+  public synchronized boolean isMisdirected() {
+    return isMisdirected;
+  }
+
   /** Whether the target's own report is recent enough to count. */
   public synchronized boolean hasReport(long now) {
     return now - report.measuredAt() <= MAXIMUM_REPORT_AGE_MILLIS;
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -671,6 +671,9 @@
       } else {
         target.load().onAnswer(isCallersFault, MonotonicClock.millis());
       }
+      if (outcome == AttemptOutcome.MISDIRECTED) {
+        context.targets().onMisdirected(target);
+      }
       retries.onFailed(outcome);
       lastFailure = failure.or(() -> lastFailure);
       Runnable next = () -> onAttemptFailed(outcome, cause, writtenBytes, isCallersFault);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -32,10 +32,15 @@
  * Targets that may receive requests, each with its estimated load. Thread-safe by one lock; the
  * lists that it returns don't change.
  *
- * <p>Of several records with one address only the newest stands for a live target. The record of a
+ * <p>Of several records with one address the newest stands for a live target. The record of a
  * target that ended without notice stays in the store for some seconds while its successor is
  * already listed. An entry process that starts then reads both, and all requests and orders to the
  * first would be refused (half of the first second's requests after a loss of power).
+ *
+ * <p>A record of another writer may bear the address of a live target, too. It displaces none: one
+ * that renews its record after another with its address was announced stays listed, and so does
+ * each target next to a record whose service the configuration doesn't name or whose target a
+ * response has shown not to be there.
  */
 public final class TargetDirectory {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -73,6 +78,10 @@
   private final Map<String, RetainedLoad> retainedLoadsByIncarnation = new HashMap<>();
   private volatile Indexes indexes = new Indexes(Map.of(), Set.of(), Map.of());
   private volatile EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
+
+  /** The services that the configuration names; empty until it is known. */
+  private Optional<Set<String>> services = Optional.empty();
+
   private final Map<String, GroupOpenness> groups = new ConcurrentHashMap<>();
 
   /**
@@ -82,9 +91,16 @@
    * @param load its load; starts anew with each of its incarnations, that is, runs of its process
    * @param usedUntil when it counts as gone, on the monotonic clock, milliseconds; {@link
    *     Long#MAX_VALUE} for a target with a current record
+   * @param firstPosition the position among all records of the first one of this incarnation in the
+   *     log's present epoch
    * @param position the position of its newest record among all records
    */
-  public record ListedTarget(Target target, TargetLoad load, long usedUntil, LogPosition position) {
+  public record ListedTarget(
+      Target target,
+      TargetLoad load,
+      long usedUntil,
+      LogPosition firstPosition,
+      LogPosition position) {
     /** Whether it takes no new requests, by its record or by one of its responses. */
     boolean isLeaving() {
       return target.leaving() || load.saysLeaving();
@@ -107,6 +123,20 @@
           startsDiffer ? firstStarted > secondStarted : first.position.isAfter(second.position);
       return isLater ? first : second;
     }
+
+    /**
+     * Whether it renewed its record after another one was announced, and so is no predecessor of
+     * that one. A single record proves nothing: the store may carry out a write seconds late.
+     */
+    private boolean hasRenewedSince(ListedTarget other) {
+      return position.isAfter(firstPosition)
+          && position.epoch() == other.firstPosition.epoch()
+          && position.isAfter(other.firstPosition);
+    }
+
+    private ListedTarget usedUntil(long end) {
+      return new ListedTarget(target, load, end, firstPosition, position);
+    }
   }
 
   /**
@@ -211,9 +241,16 @@
     }
     // The load holds the end of the cold period; the remaining time is true only for an instant.
     ListedTarget announced =
-        new ListedTarget(target.withColdRemainingMillis(0), load, Long.MAX_VALUE, position);
+        new ListedTarget(
+            target.withColdRemainingMillis(0),
+            load,
+            Long.MAX_VALUE,
+            isNewIncarnation || before.firstPosition().epoch() < position.epoch()
+                ? position
+                : before.firstPosition(),
+            position);
     boolean changesIndexes =
-        before == null || !before.target().equals(announced.target()) || isAddressShared(announced);
+        before == null || !before.target().equals(announced.target()) || isAddressShared(target);
     Indexes changed = changesIndexes ? indexesWith(announced) : indexes;
     if (isNewIncarnation) {
       predecessors(announced).map(each -> each.target().incarnation()).forEach(onIncarnationEnded);
@@ -232,10 +269,14 @@
     }
   }
 
-  private boolean isAddressShared(ListedTarget announced) {
+  /**
+   * Whether other records name the address of a target, too. Each renewal of theirs may then change
+   * which of them are listed, so it is news for the other entries.
+   */
+  public synchronized boolean isAddressShared(Target target) {
     return known.values().stream()
-        .filter(each -> !each.target().id().equals(announced.target().id()))
-        .anyMatch(each -> each.address().equals(announced.address()));
+        .filter(each -> !each.target().id().equals(target.id()))
+        .anyMatch(each -> each.address().equals(target.address()));
   }
 
   /** Takes in how much longer a target is cold, milliseconds, as it said in a response. */
@@ -354,10 +395,7 @@
             .with("target", id)
             .with("outage_ms", outageMillis));
     if (hasExpired) {
-      known.put(
-          id,
-          new ListedTarget(
-              before.target(), before.load(), now + EXPIRED_GRACE_MILLIS, before.position()));
+      known.put(id, before.usedUntil(now + EXPIRED_GRACE_MILLIS));
       return;
     }
     drop(before, now);
@@ -400,6 +438,20 @@
     updateIndexes();
   }
 
+  /** Takes in which services the configuration in force names. */
+  public synchronized void onServices(Set<String> names) {
+    services = Optional.of(Set.copyOf(names));
+    updateIndexes();
+  }
+
+  /** Takes in that a response showed that another target has the address of this one. */
+  public synchronized void onMisdirected(ListedTarget absent) {
+    absent.load().onMisdirected();
+    if (isAddressShared(absent.target())) {
+      updateIndexes();
+    }
+  }
+
   /**
    * Whether a service has targets that would take requests, but all of them are in evacuated zones.
    */
@@ -486,12 +538,15 @@
   }
 
   private Indexes indexesOf(Collection<ListedTarget> all) {
-    Collection<ListedTarget> current =
-        all.stream()
-            .collect(Collectors.toMap(ListedTarget::address, each -> each, ListedTarget::later))
-            .values();
+    List<ListedTarget> named = all.stream().filter(this::isOfNamedService).toList();
+    List<ListedTarget> current =
+        named.stream().collect(Collectors.groupingBy(ListedTarget::address)).values().stream()
+            .flatMap(TargetDirectory::withoutPredecessors)
+            .toList();
+    // A request that was routed by an earlier configuration may still go to a service of it.
+    Stream<ListedTarget> unnamed = all.stream().filter(each -> !isOfNamedService(each));
     Map<Boolean, Map<String, List<ListedTarget>>> byEvacuation =
-        current.stream()
+        Stream.concat(current.stream(), unnamed)
             .filter(each -> !each.isLeaving())
             .collect(
                 Collectors.partitioningBy(
@@ -510,6 +565,21 @@
         current.stream().collect(Collectors.groupingBy(each -> each.target().host())));
   }
 
+  private boolean isOfNamedService(ListedTarget listed) {
+    return services.map(names -> names.contains(listed.target().service())).orElse(true);
+  }
+
+  /** Returns the targets at one address but those that another one there has replaced. */
+  private static Stream<ListedTarget> withoutPredecessors(List<ListedTarget> sameAddress) {
+    ListedTarget latest =
+        sameAddress.stream()
+            .filter(each -> !each.load().isMisdirected())
+            .reduce(ListedTarget::later)
+            .or(() -> sameAddress.stream().reduce(ListedTarget::later))
+            .orElseThrow();
+    return sameAddress.stream().filter(each -> each.equals(latest) || each.hasRenewedSince(latest));
+  }
+
   /** Tells the usable targets of a service which others only step with them. */
   private static void linkLoads(List<ListedTarget> usable, List<ListedTarget> evacuated) {
     List<TargetLoad> loads = evacuated.stream().map(ListedTarget::load).toList();
--- a/gateway/src/main/java/dev/ibishub/gateway/model/ServingConfiguration.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/model/ServingConfiguration.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * One version of the configuration that the operators publish. Used on the users' platform; behind
@@ -52,6 +54,17 @@
         .findFirst();
   }
 
+  /** Returns the names of all services, including those that only routes name. */
+  public Set<String> serviceNames() {
+    return Stream.concat(
+            services.keySet().stream(),
+            routesByHost.values().stream()
+                .flatMap(List::stream)
+                .flatMap(route -> route.destinations().stream())
+                .map(Route.Destination::service))
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Finds the workspace of a key. */
   public Optional<Workspace> workspace(String key) {
     return Optional.ofNullable(workspacesByKey.get(key));
--- a/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/TargetDirectoryTest.java
@@ -18,8 +18,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class TargetDirectoryTest {
   private final TargetDirectory directory = new TargetDirectory("zone-a");
@@ -180,6 +184,70 @@
         .containsExactly("a");
   }
 
+  private List<String> usableIds() {
+    return directory.usable("pages").stream().map(known -> known.target().id()).toList();
+  }
+
+  private static Target of(String service, String id, long startedAt) {
+    return new Target(id, service, "10.0.0.1", 80, "zone-a", 6, false, startedAt);
+  }
+
+  // Guards against targets that are displaced by another writer's record, which bears the address
+  // of a target and a service that the configuration doesn't name.
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1_000, 3_000, Long.MAX_VALUE})
+  void recordOfUnnamedServiceDisplacesNoTarget(long startedAt) {
+    directory.onServices(Set.of("pages"));
+    directory.onAnnounced(of("pages", "sound", 2_000), new LogPosition(1, 3));
+    directory.onAnnounced(of("metrics", "odd", startedAt), new LogPosition(1, 8));
+    assertThat(usableIds()).containsExactly("sound");
+    assertThat(directory.atHost("10.0.0.1")).hasSize(1);
+
+    directory.onServices(Set.of("pages", "metrics"));
+    directory.onServices(Set.of("pages"));
+    assertThat(usableIds()).containsExactly("sound");
+  }
+
+  // Guards against targets that are displaced by another writer's record, which claims a later
+  // start at their address, while they renew their own records.
+  @ParameterizedTest
+  @CsvSource({"pages, 0", "pages, 3000", "other, 0", "other, 3000", "other, 9223372036854775807"})
+  void targetThatRenewsItsRecordIsNotDisplaced(String service, long startedAt) {
+    directory.onServices(Set.of("pages", "other"));
+    directory.onAnnounced(of("pages", "sound", 2_000), new LogPosition(1, 1));
+    directory.onAnnounced(of(service, "odd", startedAt), new LogPosition(1, 2));
+    directory.onAnnounced(of("pages", "sound", 2_000), new LogPosition(1, 3));
+    assertThat(usableIds()).contains("sound");
+
+    directory.onAnnounced(of(service, "odd", startedAt), new LogPosition(1, 4));
+    assertThat(usableIds()).contains("sound");
+  }
+
+  // Guards against requests to a target that ended: another service's target has its address.
+  @Test
+  void reusedAddressGoesToTheLaterTargetOfAnotherService() {
+    directory.onServices(Set.of("pages", "other"));
+    directory.onAnnounced(of("pages", "ended", 0), new LogPosition(1, 1));
+    directory.onAnnounced(of("pages", "ended", 0), new LogPosition(1, 2));
+    directory.onAnnounced(of("other", "later", 0), new LogPosition(1, 3));
+    directory.onAnnounced(of("other", "later", 0), new LogPosition(1, 4));
+
+    assertThat(usableIds()).isEmpty();
+    assertThat(directory.usable("other")).hasSize(1);
+  }
+
+  // Guards against a target that stays displaced by a record whose target isn't there, as a
+  // response has shown.
+  @Test
+  void targetThatIsNotAtItsAddressDisplacesNone() {
+    directory.onAnnounced(of("pages", "sound", 0), new LogPosition(1, 1));
+    directory.onAnnounced(of("pages", "odd", 0), new LogPosition(1, 2));
+    assertThat(usableIds()).containsExactly("odd");
+
+    directory.onMisdirected(directory.usable("pages").get(0));
+    assertThat(usableIds()).containsExactly("sound");
+  }
+
   @Test
   void recordOfAnEarlierLifeIsIgnored() {
     directory.onAnnounced(target(false, 2), new LogPosition(1, 9));
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -322,6 +322,7 @@
     KeyedRecord record = change.record();
     if (record.key().equals(StoreClient.CONFIGURATION_KEY)) {
       configuration.onRecord(record);
+      configuration.get().ifPresent(inForce -> targets.onServices(inForce.serviceNames()));
     }
     OperatorRecords.evacuatedZone(record.key())
         .ifPresent(zone -> evacuations.onRecord(zone, record));
@@ -335,7 +336,7 @@
     }
     try {
       targets.onAnnounced(announcedTarget(change.record()), change.record().position());
-    } catch (IOException | IllegalArgumentException e) {
+    } catch (IOException e) {
       logger.atWarning().log(
           "%s",
           LogEvent.of("target.unreadable")
@@ -355,13 +356,17 @@
   private boolean isRenewal(KeyedRecord earlier, KeyedRecord later) {
     try {
       return TargetAnnouncementDecoder.isRenewal(earlier, later)
-          && !isColdNews(
+          && !isNews(
               TargetAnnouncementDecoder.decode(earlier), TargetAnnouncementDecoder.decode(later));
-    } catch (IOException | IllegalArgumentException e) {
+    } catch (IOException e) {
       return false;
     }
   }
 
+  private boolean isNews(Target earlier, Target later) {
+    return isColdNews(earlier, later) || targets.isAddressShared(later);
+  }
+
   private boolean isColdNews(Target earlier, Target later) {
     return targets.endsColdPeriod(earlier, later) || targets.extendsColdPeriod(later);
   }
--- a/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.platform.standins.Deployment;
+import dev.ibishub.platform.standins.TargetStandIn;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -31,6 +33,10 @@
 
   private static final List<String> ENTRIES = List.of("entry-1", "entry-2");
 
+  private static final long RENEWAL_MILLIS = 300;
+
+  private final List<TargetStandIn> targets = new ArrayList<>();
+  private volatile boolean isOver;
   private final AtomicInteger connections = new AtomicInteger();
   private final ServerSocket decoy;
   @TempDir private Path folder;
@@ -45,8 +51,8 @@
     CompletableFuture.runAsync(this::countConnections);
     deployment = new Deployment(programWithNames("not-an-address", "127.0.0.300", "127.1"));
     deployment.publish(3, "pages", "key-1");
-    deployment.startTarget("i-1", "127.0.0.1", "pages");
-    deployment.startTarget("i-2", "127.0.0.1", "pages");
+    targets.add(deployment.startTarget("i-1", "127.0.0.1", "pages"));
+    targets.add(deployment.startTarget("i-2", "127.0.0.1", "pages"));
   }
 
   @AfterEach
@@ -126,4 +132,64 @@
     assertThat(countServed()).isEqualTo(REQUESTS);
     assertThat(connections).hasValue(0);
   }
+
+  // Guards against a service that stops after all entries have restarted, as records of another
+  // writer bear the addresses of its targets and a service that the configuration doesn't name.
+  @ParameterizedTest
+  @ValueSource(strings = {"a-odd", "z-odd"})
+  void recordsOfUnnamedServiceDisplaceNoTarget(String id) throws IOException, InterruptedException {
+    for (TargetStandIn target : targets) {
+      deployment
+          .store()
+          .put("keyed.servers", id + target.id(), record("metrics", target.address()));
+    }
+    startEntries();
+
+    assertThat(countServed()).isEqualTo(REQUESTS);
+  }
+
+  // Guards against a service that stops for as long as records of another writer, which claim a
+  // later start, bear the addresses of targets that renew their own records.
+  @ParameterizedTest
+  @CsvSource({"other, 1800000000000", "other, 9223372036854775807", "pages, 1800000000000"})
+  void targetsThatRenewTheirRecordsAreNotDisplaced(String service, long startedAt)
+      throws IOException, InterruptedException {
+    targets.forEach(this::renew);
+    for (TargetStandIn target : targets) {
+      String sound = record(service, target.address());
+      String later = sound.replace("}", ",\"born\":%d}".formatted(startedAt));
+      deployment.store().put("keyed.servers", ODD_ID + target.id(), later);
+    }
+    startEntries();
+    CompletableFuture<Void> renewing = CompletableFuture.runAsync(this::renewUntilOver);
+    try {
+      for (String entry : ENTRIES) {
+        deployment.await(
+            "served", () -> deployment.call(entry, "POST", "/once/a", "").statusCode() == 200);
+      }
+      assertThat(countServed()).isEqualTo(REQUESTS);
+    } finally {
+      isOver = true;
+      renewing.join();
+    }
+  }
+
+  /** Writes the record of a target that started before those of the other writer. */
+  private void renew(TargetStandIn target) {
+    String announced = target.announcement("pages", "ready");
+    deployment
+        .store()
+        .put("keyed.servers", target.id(), announced.replace("}", ",\"born\":1700000000000}"));
+  }
+
+  private void renewUntilOver() {
+    try {
+      while (!isOver) {
+        targets.forEach(this::renew);
+        Thread.sleep(RENEWAL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
+++ b/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
@@ -117,9 +117,12 @@
   }
 
   private List<Long> offsetsPassedOn(long coldRemainingMillis) {
+    return offsetsPassedOn("t", coldRemainingMillis);
+  }
+
+  private List<Long> offsetsPassedOn(String id, long coldRemainingMillis) {
     written.add(
-        new KeyedRecord(
-            new LogPosition(1, written.size()), "t", announcement(coldRemainingMillis)));
+        new KeyedRecord(new LogPosition(1, written.size()), id, announcement(coldRemainingMillis)));
     broadcasts.clear();
     time += 1_000;
     reader.topics.tick(time, 0, 3);
@@ -143,4 +146,15 @@
     assertThat(offsetsPassedOn(0)).containsExactly(4L);
     assertThat(offsetsPassedOn(0)).isEmpty();
   }
+
+  // Guards against entries that keep a live target displaced by another writer's record with its
+  // address, as they never learn that it renews its own.
+  @Test
+  void readerPassesOnRenewalsWhileTwoRecordsShareAnAddress() {
+    assertThat(offsetsPassedOn("t", 0)).containsExactly(0L);
+    assertThat(offsetsPassedOn("t", 0)).isEmpty();
+    assertThat(offsetsPassedOn("odd", 0)).containsExactly(2L);
+    assertThat(offsetsPassedOn("t", 0)).containsExactly(3L);
+    assertThat(offsetsPassedOn("odd", 0)).containsExactly(4L);
+  }
 }
