Take only a status line of HTTP/1 with a status from 100 to 599

What callers saw: a target answered with status 000 and kept the connection open; the caller got 504 at its deadline. The same with any status below 100 and with 101. Statuses above 599 were passed on as they came, and so were responses whose status read 0200 or +200, or whose status line named HTTP/2.0.

Cause: Netty's decoder of responses takes any number for a status. A status below 200 counted as an interim response, whose end is ignored.

Change: StrictResponseDecoder checks the status line of each response, interim ones included, before anything is believed of it, its signature too: HTTP/1 and a digit, one space, a status of three digits from 100 to 599, and a reason phrase without control characters, which may be missing with its space. Bytes that can't begin one are refused without waiting for the end of the line. 101 is refused, as no request asks for another protocol. The attempt then fails at once as one that may have run: another target is tried where the request may run twice, else the caller gets 502.

An interim response and then nothing is no fault that can be known: it counts as a silent target, as before.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetCall.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetCall.java
@@ -1,5 +1,6 @@
 package dev.ibishub.gateway.front;
 
+import dev.ibishub.gateway.http.StrictResponseDecoder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -16,11 +17,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -107,7 +106,7 @@
                         .pipeline()
                         .addLast(new HttpRequestEncoder())
                         .addLast(call.new HeadLimit())
-                        .addLast(new ResponseDecoder(isHeadRequest))
+                        .addLast(new StrictResponseDecoder(DECODING, isHeadRequest))
                         .addLast(call.new ResponseHandler());
                   }
                 })
@@ -172,24 +171,6 @@
     }
   }
 
-  /**
-   * Decoder that expects no body in the response to a HEAD request, whatever its length header
-   * says.
-   */
-  private static final class ResponseDecoder extends HttpResponseDecoder {
-    private final boolean isHeadRequest;
-
-    ResponseDecoder(boolean isHeadRequest) {
-      super(DECODING);
-      this.isHeadRequest = isHeadRequest;
-    }
-
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      return isHeadRequest || super.isContentAlwaysEmpty(message);
-    }
-  }
-
   /**
    * Ends the attempt if too much arrives before the head of the response is complete. The decoder
    * limits each head by itself, but neither their number nor the bytes that it skips before one.
--- a/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
@@ -13,10 +13,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -83,6 +84,8 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        // Bytes that arrive before the call's handlers are in place would be dropped.
+        .option(ChannelOption.AUTO_READ, false)
         .option(
             ChannelOption.CONNECT_TIMEOUT_MILLIS,
             (int) Math.min(CONNECT_TIMEOUT_MILLIS, Math.max(1, call.timeoutMillis())))
@@ -90,7 +93,11 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec());
+                channel
+                    .pipeline()
+                    .addLast(
+                        new HttpRequestEncoder(),
+                        new StrictResponseDecoder(new HttpDecoderConfig(), false));
               }
             })
         .connect(address)
@@ -155,6 +162,7 @@
     reply.whenComplete((value, failure) -> timer.cancel(false));
     HttpObjectAggregator aggregator = new HttpObjectAggregator(call.maximumReplyBytes());
     channel.pipeline().addLast(aggregator, new ResponseHandler(address, reply, aggregator));
+    channel.config().setAutoRead(true);
     channel
         .writeAndFlush(request(call))
         .addListener(
--- /dev/null
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
@@ -0,0 +1,173 @@
+package dev.ibishub.gateway.front;
+
+import static dev.ibishub.gateway.front.TestEntry.TIMEOUT_MILLIS;
+import static dev.ibishub.gateway.front.TestEntry.route;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.ibishub.core.serving.RequestKind;
+import dev.ibishub.gateway.model.CallerLimits;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests what callers get when a target sends a response that is none by the RFCs of HTTP. */
+final class OddResponseTest {
+  /** Far longer than any wait of these tests. */
+  private static final int ROUTE_TIMEOUT_MILLIS = 10 * TIMEOUT_MILLIS;
+
+  /** Time within which the entry closes the connection to a target that sent no response. */
+  private static final int CLOSE_MILLIS = 10_000;
+
+  private static final String WHOLE =
+      "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood";
+
+  private final TestEntry entry =
+      TestEntry.start(
+          CallerLimits.DEFAULTS,
+          route("/any/", RequestKind.IDEMPOTENT, ROUTE_TIMEOUT_MILLIS),
+          route("/once/", RequestKind.ONCE, ROUTE_TIMEOUT_MILLIS));
+  private ServerSocket target;
+
+  @BeforeEach
+  void announceTarget() throws IOException {
+    target = entry.announce("t");
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    entry.close();
+    target.close();
+  }
+
+  private RawCaller call(String path) throws IOException {
+    return RawCaller.send(
+        entry.address(), "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  }
+
+  /** Accepts the next attempt and reads its request; the entry also connects only to probe. */
+  private static Socket accept(ServerSocket at) throws IOException {
+    Socket accepted = at.accept();
+    accepted.setSoTimeout(TIMEOUT_MILLIS);
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = accepted.getInputStream().read();
+      if (next < 0) {
+        accepted.close();
+        return accept(at);
+      }
+      head.append((char) next);
+    }
+    return accepted;
+  }
+
+  private static void write(Socket accepted, String text) throws IOException {
+    accepted.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    accepted.getOutputStream().flush();
+  }
+
+  /** Waits until the entry closes a connection, which the target keeps open. */
+  private static void awaitClose(Socket accepted) throws IOException {
+    accepted.setSoTimeout(CLOSE_MILLIS);
+    try {
+      assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+    } catch (SocketTimeoutException e) {
+      throw new AssertionError("the entry waits for the rest of what is no response", e);
+    } catch (IOException e) {
+      // The entry reset the connection.
+    }
+  }
+
+  private void assertIsNoResponse(String response) throws IOException {
+    try (RawCaller caller = call("/once/x");
+        Socket first = accept(target)) {
+      write(first, response);
+      awaitClose(first);
+
+      assertThat(caller.await().head()).startsWith("HTTP/1.1 502 ").doesNotContain("odd");
+      assertThat(caller.await().body()).doesNotContain("good");
+    }
+    try (RawCaller caller = call("/any/x");
+        Socket first = accept(target);
+        ServerSocket other = entry.announce("u")) {
+      write(first, response);
+      try (Socket second = accept(other)) {
+        write(second, WHOLE);
+      }
+      awaitClose(first);
+
+      assertThat(caller.await().head()).startsWith("HTTP/1.1 200 ").doesNotContain("odd");
+      assertThat(caller.await().body()).isEqualTo("good");
+    }
+  }
+
+  // Guards against a caller that gets a status that is none, or nothing until its deadline, as the
+  // entry takes it for an interim response.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 odd",
+        "HTTP/1.1 099 odd",
+        "HTTP/1.1 99 odd",
+        "HTTP/1.1 0 odd",
+        "HTTP/1.1 0200 odd",
+        "HTTP/1.1 +200 odd",
+        "HTTP/1.1 -200 odd",
+        "HTTP/1.1 600 odd",
+        "HTTP/1.1 999 odd",
+        "HTTP/1.1 2000 odd",
+        "HTTP/1.1 99999999999999999999 odd",
+        "HTTP/1.1 20x odd",
+        "HTTP/1.1 101 odd",
+        "HTTP/1.1 OK odd",
+        "HTTP/1.1",
+        "HTTP/1.1 ",
+        "HTTP/1.1  200 odd",
+        "HTTP/1.1\t200 odd",
+        "HTTP/1.1\u000b200 odd",
+        " HTTP/1.1 200 odd",
+        "\u0000HTTP/1.1 200 odd",
+        "\r\nHTTP/1.1 200 odd",
+        "http/1.1 200 odd",
+        "HTTP/2.0 200 odd",
+        "HTTP/0.9 200 odd",
+        "HTTP/1.10 200 odd",
+        "ICY 200 odd",
+        "HTTP/1.1 200 odd\u0000",
+        "HTTP/1.1 200 odd\u0001",
+        "HTTP/1.1 200 odd\u007f",
+        "HTTP/1.1 200 odd\rodd",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 odd"
+      })
+  void statusLineOfAnotherFormIsNoResponse(String statusLine) throws IOException {
+    assertIsNoResponse(statusLine + "\r\nsigned: 1\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\ngood");
+  }
+
+  // Guards against a target's whole response that is refused by too strict a check.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 all\tis well: \u00e9",
+        "HTTP/1.0 200 OK",
+        "HTTP/1.2 299 OK",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+        "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 Other\r\n\r\nHTTP/1.1 200 OK"
+      })
+  void statusLineOfTheRightFormIsPassedOn(String statusLine) throws IOException {
+    try (RawCaller caller = call("/once/x");
+        Socket first = accept(target)) {
+      write(first, statusLine + "\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood");
+
+      assertThat(caller.await().head()).startsWith("HTTP/1.1 2");
+      assertThat(caller.await().body()).isEqualTo("good");
+    }
+  }
+}
--- a/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
@@ -20,12 +20,17 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the client with raw sockets that play external systems. */
 final class PooledHttpClientTest {
   private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
   private static final int MAXIMUM_REPLY_BYTES = 1_000;
   private static final long TIMEOUT_MILLIS = 60_000;
+
+  /** Time within which a call fails whose response is none; far less than its timeout. */
+  private static final long CLOSE_MILLIS = 10_000;
+
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
 
   /** Far more than a bounded response and the buffers of both sockets. */
@@ -107,6 +112,30 @@
         .isInstanceOf(ExecutionException.class);
   }
 
+  // Guards against a call that waits for its timeout, or gets a reply, as a system sends what is no
+  // response and keeps the connection open.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 OK\r\n",
+        "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 600 OK\r\n",
+        "HTTP/1.1 0200 OK\r\n",
+        "HTTP/1.1 101 OK\r\n",
+        "garbage"
+      })
+  void otherBytesThanResponseFailTheCall(String start) throws IOException {
+    CompletableFuture<HttpReply> reply = call();
+    try (Socket connection = system.accept()) {
+      readHead(connection);
+      write(connection, start + "Content-Length: 4\r\n\r\ngood");
+
+      assertThatThrownBy(() -> reply.get(CLOSE_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(ExecutionException.class)
+          .hasCauseInstanceOf(IOException.class);
+    }
+  }
+
   // Guards against an interim response that is taken for the final one, which is then taken for
   // that of the next call on the connection.
   @Test
