Take a line of a head only with a field name as HTTP defines it

What callers saw: a target's line "X Odd: 1" was passed on as "X: 1". With "Content Length: 29" the body had no end that the entry knew, and the caller got 504 at its deadline. A line that begins with a blank was joined to the field before it, and so changed that field's value, the signature's too.

Cause: Netty's decoder of responses ends a field name at the first blank or tab, and replaces a line break before a blank by a space.

Held before: control bytes, NUL, DEL, 8-bit bytes and other characters in names, no name, no colon, control characters in values, lengths that are no numbers or contradict each other.

Change: StrictResponseDecoder takes a name of token characters with a colon right behind it, in heads, interim responses and trailers, and refuses a head with a folded line. RFC 9112 lets a proxy remove a blank before the colon or replace a fold by spaces; it refuses both here, as two readers may read them differently, and the target is one in trouble. 8-bit bytes in values are passed on, as before.

Why it holds: the check sees each name before the decoder uses it, so no field exists that the target didn't write in this form, and the failure is the one of any response that breaks off: nothing of it is passed on, and nothing runs twice that may not.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/StrictResponseDecoder.java
@@ -5,17 +5,23 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
+import java.util.BitSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 
 /**
  * Response decoder that accepts only what RFC 9112 and RFC 9110 define as a response, where Netty's
- * decoder takes any number for a status. Interim responses are checked, too. A message that is
- * refused is the last one, and its {@link HttpMessage#decoderResult} is a failure. Not thread-safe.
+ * decoder guesses: it takes any number for a status, and ends a field name at the first blank, so
+ * that {@code Content Length} is no length and {@code X Y: 1} becomes {@code X: 1}. Interim
+ * responses and trailers are checked, too. A message that is refused is the last one, and its
+ * {@link HttpMessage#decoderResult} is a failure. Not thread-safe.
  */
 public final class StrictResponseDecoder extends HttpResponseDecoder {
   private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -24,8 +30,18 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.[0-9] (1(?!01)|[2-5])[0-9]{2}( [\\t -~\\x80-\\xff]*)?\\r\\n");
 
+  private static final BitSet TOKEN_CHARACTERS = new BitSet();
+
+  static {
+    "!#$%&'*+-.^_`|~".chars().forEach(TOKEN_CHARACTERS::set);
+    TOKEN_CHARACTERS.set('0', '9' + 1);
+    TOKEN_CHARACTERS.set('A', 'Z' + 1);
+    TOKEN_CHARACTERS.set('a', 'z' + 1);
+  }
+
   private final boolean isHeadRequest;
   private boolean isAtStart = true;
+  private boolean isInHead = true;
   private boolean isRefused;
 
   /**
@@ -58,9 +74,10 @@
     int from = in.readerIndex();
     int messages = out.size();
     super.decode(context, in, out);
-    if (isAtStart && in.readerIndex() > from && !hasStatusLine(in, from)) {
+    Optional<String> fault = isInHead ? faultInHead(in, from) : Optional.empty();
+    if (fault.isPresent()) {
       out.subList(messages, out.size()).clear();
-      refuse(in, out, "expected a status line with a status from 100 to 599, except 101");
+      refuse(in, out, fault.get());
       return;
     }
     isAtStart &= in.readerIndex() == from;
@@ -72,12 +89,32 @@
         .allMatch(at -> in.getByte(in.readerIndex() + at) == START[at]);
   }
 
+  /** Returns what is wrong with the lines of a head that were just read, without field names. */
+  private Optional<String> faultInHead(ByteBuf in, int from) {
+    if (isAtStart && in.readerIndex() > from && !hasStatusLine(in, from)) {
+      return Optional.of("expected a status line with a status from 100 to 599, except 101");
+    }
+    return hasFoldedLine(in, from)
+        ? Optional.of("expected a field name at the start of a line, found a blank")
+        : Optional.empty();
+  }
+
   private static boolean hasStatusLine(ByteBuf in, int from) {
     int end = in.indexOf(from, in.readerIndex(), (byte) '\n') + 1;
     String line = in.toString(from, Math.max(0, end - from), StandardCharsets.ISO_8859_1);
     return STATUS_LINE.matcher(line).matches();
   }
 
+  /**
+   * Whether a line continues the one before it. Some readers take it for a field of its own, and a
+   * proxy may refuse the response (RFC 9112, section 5.2).
+   */
+  private static boolean hasFoldedLine(ByteBuf in, int from) {
+    return IntStream.range(from, in.readerIndex())
+        .filter(at -> at == from || in.getByte(at - 1) == '\n')
+        .anyMatch(at -> in.getByte(at) == ' ' || in.getByte(at) == '\t');
+  }
+
   private void refuse(ByteBuf in, List<Object> out, String fault) {
     isRefused = true;
     in.skipBytes(in.readableBytes());
@@ -87,6 +124,27 @@
   }
 
   private void onDecoded(Object message) {
-    isAtStart |= message instanceof LastHttpContent;
+    if (message instanceof HttpResponse) {
+      isInHead = false;
+    }
+    if (message instanceof LastHttpContent) {
+      isInHead = true;
+      isAtStart = true;
+    }
+  }
+
+  /** Checks a field name of a head or a trailer; it ends at the first blank or colon. */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    boolean isToken =
+        length > 0
+            && IntStream.range(start, start + length)
+                .allMatch(at -> TOKEN_CHARACTERS.get(Byte.toUnsignedInt(line[at])));
+    if (!isToken || line[start + length] != ':') {
+      throw new IllegalArgumentException(
+          "expected a field name and a colon, found "
+              + new String(line, start, length + 1, StandardCharsets.ISO_8859_1));
+    }
+    return super.splitHeaderName(line, start, length);
   }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
@@ -170,4 +170,96 @@
       assertThat(caller.await().body()).isEqualTo("good");
     }
   }
+
+  // Guards against a line that is passed on under another name, and a body whose length the entry
+  // doesn't find, as a field name isn't what HTTP defines.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X odd: 1",
+        "X\todd: 1",
+        "X-odd : 1",
+        "X-odd\t: 1",
+        " X-odd: 1",
+        "\tX-odd: 1",
+        ": odd",
+        " : odd",
+        "X-odd",
+        "X\u0000odd: 1",
+        "X\u0001odd: 1",
+        "X\u000bodd: 1",
+        "X\rodd: 1",
+        "X\u007fodd: 1",
+        "X\u00e9odd: 1",
+        "X(odd): 1",
+        "\"X-odd\": 1",
+        "X-odd: a\u0000",
+        "X-odd: a\u0001",
+        "X-odd: a\u007f",
+        "X-odd: a\rb",
+        "X-odd: a\r\n b"
+      })
+  void lineOfAnotherFormInHeadIsNoResponse(String line) throws IOException {
+    String rest = "\r\nsigned: 1\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\ngood";
+    assertIsNoResponse("HTTP/1.1 200 OK\r\n" + line + rest);
+    assertIsNoResponse("HTTP/1.1 200 OK\r\nA: b\r\n" + line + rest);
+    assertIsNoResponse("HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n" + WHOLE);
+  }
+
+  // Guards against a body that has no end, or one that isn't the target's, as its length is not
+  // found or is none.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content Length: 4",
+        "Content-Length : 4",
+        "Content\u0000-Length: 4",
+        "X: y\r\n Content-Length: 4",
+        "Content-Length: +4",
+        "Content-Length: -4",
+        "Content-Length: 4x",
+        "Content-Length: 4, 5",
+        "Content-Length: 4\r\nContent-Length: 5",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Transfer Encoding: chunked",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding: chunked, gzip"
+      })
+  void lengthOfAnotherFormIsNoResponse(String line) throws IOException {
+    assertIsNoResponse("HTTP/1.1 200 OK\r\nsigned: 1\r\n" + line + "\r\n\r\ngood");
+  }
+
+  // Guards against a response that counts as complete though its trailer is none.
+  @ParameterizedTest
+  @ValueSource(strings = {"X odd: 1", "X-odd : 1", ": 1", "X\u0000: 1", "X-odd: \u0001"})
+  void lineOfAnotherFormInTrailerIsNoResponse(String line) throws IOException {
+    assertIsNoResponse(
+        "HTTP/1.1 200 OK\r\nsigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n"
+            + line
+            + "\r\n\r\n");
+  }
+
+  // Guards against a target's whole response that is refused by too strict a check.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "!#$%&'*+-.^_`|~09azAZ: 1",
+        "X-a:",
+        "X-a:1",
+        "X-a: \t1 2\t3 \t",
+        "X-a: caf\u00e9 \u0080",
+        "X-a: \"q: r\""
+      })
+  void lineOfTheRightFormIsPassedOn(String line) throws IOException {
+    try (RawCaller caller = call("/once/x");
+        Socket first = accept(target)) {
+      write(first, "HTTP/1.1 200 OK\r\n" + line + "\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood");
+
+      assertThat(caller.await().head())
+          .startsWith("HTTP/1.1 200 ")
+          .containsIgnoringCase(line.substring(0, line.indexOf(':') + 1))
+          .contains(line.substring(line.indexOf(':') + 1).strip());
+      assertThat(caller.await().body()).isEqualTo("good");
+    }
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
@@ -122,6 +122,10 @@
         "HTTP/1.1 600 OK\r\n",
         "HTTP/1.1 0200 OK\r\n",
         "HTTP/1.1 101 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n X-Odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX\u0000: 1\r\n",
         "garbage"
       })
   void otherBytesThanResponseFailTheCall(String start) throws IOException {
