Refuse statuses above 599 behind ibishub's own interface

What callers saw: a plain service's answer with status 600 and above was passed on as it came.

Cause: the JDK's client takes any status from 100 on. It refuses by itself, and at once, statuses below 100, 101 and what is no number or no status line, as well as field names with blanks or control bytes and control characters within values. A line without a name or a colon it leaves out, and a folded one it joins by a space as RFC 9112 allows.

Evidence: HttpPlainServiceTest, a service that keeps its connection open, on the code before: 1 of 20 other responses red (600), 19 held; lines without a name are not passed on (held).

Change: the clients of engines, plain services, the log, the list of VMs and the weight store fail such a call as one whose outcome is unknown, without reading its body.

Measured: HttpPlainServiceTest (23 cases) and GenerationReaderTest green.

--- a/outbound/src/main/java/dev/ibishub/outbound/OutboundHttp.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/OutboundHttp.java
@@ -95,7 +95,7 @@
   public <T> CompletableFuture<HttpResponse<T>> send(
       HttpRequest request, BodyHandler<T> handler, Failures failures) {
     return client
-        .sendAsync(request, handler)
+        .sendAsync(request, StatusCheck.before(handler))
         .exceptionallyCompose(
             failure -> CompletableFuture.failedFuture(exceptionOf(request, failure, failures)));
   }
