Connect only to IP numbers, and fail without an exception at others

What callers saw: nothing reported; the same fault as that of the targets' addresses, in the other places that take addresses from outside: the entries' own topic, whose values are linked to, the hosts that entries tell each other, and behind ibishub's own interface the list of VMs.

Cause: WireTransport and PooledHttpClient built a socket address from any text, which looks a name up on the calling thread, and threw where the port was invalid: the links to the VMs behind that one in the list were not opened.

Change: both read the host as digits and fail the returned future at once otherwise. Values of the entries' topic that are no IP number are left out, so that no entry is expected there.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
@@ -1,5 +1,6 @@
 package dev.ibishub.gateway.http;
 
+import dev.ibishub.wire.NumericAddresses;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -70,11 +72,17 @@
    * Sends a request.
    *
    * @return the response; fails with {@link TimeoutException} or {@link IOException}, after which
-   *     the request may or may not have been carried out
+   *     the request may or may not have been carried out, and with {@link IllegalArgumentException}
+   *     when the host is no IP number or the port is invalid
    */
   public CompletableFuture<HttpReply> call(HttpCall call) {
     CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-    InetSocketAddress address = new InetSocketAddress(call.host(), call.port());
+    InetSocketAddress address;
+    try {
+      address = NumericAddresses.of(call.host(), call.port());
+    } catch (IllegalArgumentException e) {
+      return CompletableFuture.failedFuture(e);
+    }
     Channel pooled = pollIdle(address);
     if (pooled != null) {
       send(pooled, address, call, reply);
@@ -181,7 +189,9 @@
             HttpMethod.valueOf(call.method()),
             call.pathAndQuery(),
             Unpooled.wrappedBuffer(call.body()));
-    request.headers().set(HttpHeaderNames.HOST, call.host() + ":" + call.port());
+    request
+        .headers()
+        .set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(call.host(), call.port()));
     call.headers().forEach((name, value) -> request.headers().set(name, value));
     if (call.body().length > 0 || call.method().equals("POST")) {
       request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
--- a/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
@@ -140,6 +140,24 @@
     }
   }
 
+  // Guards against a host that is looked up as a name, which blocks an event loop, and against a
+  // call that throws instead of failing.
+  @ParameterizedTest
+  @CsvSource({"localhost, 0", "127.1, 0", "0.0.0.0, 0", "127.0.0.1, 70000"})
+  void callToOtherHostThanIpNumberFails(String host, int port) {
+    CompletableFuture<HttpReply> reply =
+        client.call(
+            HttpCall.get(
+                host,
+                port == 0 ? system.getLocalPort() : port,
+                "/x",
+                TIMEOUT_MILLIS,
+                MAXIMUM_REPLY_BYTES));
+
+    assertThatThrownBy(() -> reply.get(CLOSE_MILLIS, TimeUnit.MILLISECONDS))
+        .hasCauseInstanceOf(IllegalArgumentException.class);
+  }
+
   // Guards against an interim response that is taken for the final one, which is then taken for
   // that of the next call on the connection.
   @Test
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -20,6 +20,7 @@
 import dev.ibishub.platform.StoreRevisions;
 import dev.ibishub.platform.TargetAnnouncementDecoder;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.wire.NumericAddresses;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.LogEpoch;
 import dev.ibishub.wire.generated.ReadTurn;
@@ -377,6 +378,7 @@
         .value()
         .map(ByteString::copyFrom)
         .map(ByteString::toStringUtf8)
+        .filter(NumericAddresses::isHost)
         .ifPresent(listener.onEntryHost());
   }
 }
--- a/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
+++ b/node/src/test/java/dev/ibishub/node/StoreTopicsTest.java
@@ -21,11 +21,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Tests which records of targets the entries pass on to each other, and with which age. */
 final class StoreTopicsTest {
   private final List<KeyedRecord> written = new ArrayList<>();
+  private final List<KeyedRecord> entries = new ArrayList<>();
+  private final List<String> entryHosts = new ArrayList<>();
   private final List<Frame> broadcasts = new ArrayList<>();
   private final Member reader = new Member(new WrittenRecords());
   private long time = MonotonicClock.millis();
@@ -40,10 +43,11 @@
 
     @Override
     public CompletableFuture<RecordBatch> read(String topic, long from, long waitMillis) {
-      List<KeyedRecord> records =
+      List<KeyedRecord> all =
           topic.equals(StoreClient.TARGETS_TOPIC)
-              ? written.subList((int) from, written.size())
-              : List.of();
+              ? written
+              : topic.equals(StoreClient.ENTRIES_TOPIC) ? entries : List.of();
+      List<KeyedRecord> records = all.subList((int) from, all.size());
       return CompletableFuture.completedFuture(
           new RecordBatch(from, new LogPosition(1, from + records.size()), false, records));
     }
@@ -67,7 +71,7 @@
               new CurrentEvacuations(targets),
               targets,
               () -> ReadTurns.fixed(500, 250, 0),
-              new StoreTopics.Listener(broadcasts::add, host -> {}, turn -> false),
+              new StoreTopics.Listener(broadcasts::add, entryHosts::add, turn -> false),
               MonotonicClock::millis);
     }
 
@@ -157,4 +161,21 @@
     assertThat(offsetsPassedOn("t", 0)).containsExactly(3L);
     assertThat(offsetsPassedOn("odd", 0)).containsExactly(4L);
   }
+
+  // Guards against a link to what another writer left among the entries' addresses, which would be
+  // looked up as a name.
+  @Test
+  void onlyIpNumbersAreTakenForEntries() {
+    Stream.of("10.0.0.1", "not-an-address", "127.1", "", "\u0000", "10.0.0.300", "::1", "10.0.0.2")
+        .forEach(
+            host ->
+                entries.add(
+                    new KeyedRecord(
+                        new LogPosition(1, entries.size()),
+                        "e" + entries.size(),
+                        Optional.of(host.getBytes(StandardCharsets.UTF_8)))));
+    reader.topics.tick(time, 0, 1);
+
+    assertThat(entryHosts).containsExactly("10.0.0.1", "::1", "10.0.0.2");
+  }
 }
--- a/wire/src/main/java/dev/ibishub/wire/NumericAddresses.java
+++ b/wire/src/main/java/dev/ibishub/wire/NumericAddresses.java
@@ -54,14 +54,28 @@
     if (port < 1 || port > HIGHEST_PORT) {
       throw new IllegalArgumentException("expected a port from 1 to 65535, found " + port);
     }
-    InetAddress address = NetUtil.createInetAddressFromIpAddressString(host);
-    if (address == null || !isUnambiguous(host, address)) {
-      throw new IllegalArgumentException("expected an IP number, found " + host);
+    return new InetSocketAddress(host(host), port);
+  }
+
+  /** Whether a text is an IP number as {@link #of} takes it. */
+  public static boolean isHost(String text) {
+    try {
+      host(text);
+      return true;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
+  private static InetAddress host(String text) {
+    InetAddress address = NetUtil.createInetAddressFromIpAddressString(text);
+    if (address == null || !isUnambiguous(text, address)) {
+      throw new IllegalArgumentException("expected an IP number, found " + text);
     }
-    if (address.isAnyLocalAddress() || address.isMulticastAddress() || host.equals(BROADCAST)) {
-      throw new IllegalArgumentException("expected the IP number of one VM, found " + host);
+    if (address.isAnyLocalAddress() || address.isMulticastAddress() || text.equals(BROADCAST)) {
+      throw new IllegalArgumentException("expected the IP number of one VM, found " + text);
     }
-    return new InetSocketAddress(address, port);
+    return address;
   }
 
   /** Whether no other reader takes the text for another address: some read 010 as 8. */
--- a/wire/src/main/java/dev/ibishub/wire/WireTransport.java
+++ b/wire/src/main/java/dev/ibishub/wire/WireTransport.java
@@ -140,16 +140,23 @@
   /**
    * Opens a link. On success {@link LinkListener#onOpen} is called before the result completes.
    *
-   * @param host IP address of the peer
+   * @param host IP address of the peer, which is never looked up as a name
    * @param port port of the peer
    * @param listener receives the events of the link
    * @return the link once its handshake is complete; fails with {@code TARGET_UNREACHABLE} when the
-   *     connection or the handshake fails
+   *     address is none, or the connection or the handshake fails
    */
   public CompletableFuture<Link> connect(String host, int port, LinkListener listener) {
     CompletableFuture<Link> opened = new CompletableFuture<>();
     Consumer<Throwable> onFailure =
         cause -> opened.completeExceptionally(unreachable(host, port, cause));
+    InetSocketAddress address;
+    try {
+      address = NumericAddresses.of(host, port);
+    } catch (IllegalArgumentException e) {
+      onFailure.accept(e);
+      return opened;
+    }
     LinkListener completing = new CompletingListener(listener, opened);
     new Bootstrap()
         .group(group)
@@ -158,7 +165,7 @@
         .option(ChannelOption.RECVBUF_ALLOCATOR, ONE_BUFFER_PER_READ)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(pipeline(true, completing, onFailure))
-        .connect(new InetSocketAddress(host, port))
+        .connect(address)
         .addListener(
             result -> {
               if (!result.isSuccess()) {
--- a/wire/src/test/java/dev/ibishub/wire/WireTransportTest.java
+++ b/wire/src/test/java/dev/ibishub/wire/WireTransportTest.java
@@ -22,6 +22,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class WireTransportTest {
   private final WireTransport entry =
@@ -118,6 +120,27 @@
     assertThat(rejected).hasValue(2);
   }
 
+  // Guards against a peer's address that is looked up as a name, which blocks an event loop, or
+  // stops its caller with an exception before other peers are linked.
+  @ParameterizedTest
+  @CsvSource({
+    "localhost, 0",
+    "127.1, 0",
+    "127.0.0.300, 0",
+    "'', 0",
+    "0.0.0.0, 0",
+    "127.0.0.1, 70000",
+    "127.0.0.1, -1"
+  })
+  void addressThatIsNoneIsUnreachable(String host, int port) throws Exception {
+    int open = agent.listen("127.0.0.1", 0, agentListener).get(10, TimeUnit.SECONDS);
+
+    assertThat(entry.connect(host, port == 0 ? open : port, new RecordingListener()))
+        .failsWithin(10, TimeUnit.SECONDS)
+        .withThrowableThat()
+        .withCauseInstanceOf(ResultException.class);
+  }
+
   // Guards against strangers that keep out peers.
   @Test
   void peerIsLinkedBesideManyStrangers() throws Exception {
