Read each VM of the list apart from the others

What callers saw: nothing reported; behind ibishub's own interface one odd VM in the platform's list, with another role, a missing text, a port that is none or of another type, kept entries and agents from reading the whole list, so that no VM was linked that wasn't known before.

Cause: the list was decoded as a whole, and a role or text that is missing threw where the members were made of it.

Evidence, on the code before: HttpVirtualMachineListTest 12 of 12 red (for eight of them the list came with the odd VM, which fails later).

Measured: the test green.

--- a/outbound/src/main/java/dev/ibishub/outbound/OutboundJson.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/OutboundJson.java
@@ -62,6 +62,19 @@
     return MAPPER.readValue(json, type);
   }
 
+  /**
+   * Reads a value from a JSON tree.
+   *
+   * @throws IOException if the tree is not of that type, or is {@code null}
+   */
+  public static <T> T read(JsonNode json, Class<T> type) throws IOException {
+    T value = MAPPER.treeToValue(json, type);
+    if (value == null) {
+      throw new IOException("expected " + type.getSimpleName() + ", found null");
+    }
+    return value;
+  }
+
   /**
    * Reads any JSON as a tree.
    *
