Take a target's record only with an id that a header can hold

What callers saw: while a record of another writer stood whose id held a line break or a NUL, and which else read as a target, requests that were sent there ended with a closed connection.

Cause: the id of a target is sent to it in a header, whose value the HTTP library refuses then; the exception ended the request.

Evidence, on the code before: OddRecordEndToEndTest, requests that may run once to two entries: a closed connection with a line break and with NUL, requests to the decoy with an id that isn't ASCII; 3 of 3 red.

--- a/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
@@ -133,6 +133,18 @@
     assertThat(connections).hasValue(0);
   }
 
+  // Guards against requests that fail as they go to a record's target whose id no header can hold.
+  @ParameterizedTest
+  @ValueSource(strings = {"a\r\nodd: 1", "a\u0000", "\u00e9"})
+  void recordWhoseIdIsNoHeaderValueIsNoTarget(String id) throws IOException, InterruptedException {
+    String address = "127.0.0.1:" + decoy.getLocalPort();
+    deployment.store().put("keyed.servers", id, record("pages", address));
+    startEntries();
+
+    assertThat(countServed()).isEqualTo(REQUESTS);
+    assertThat(connections).hasValue(0);
+  }
+
   // Guards against a service that stops after all entries have restarted, as records of another
   // writer bear the addresses of its targets and a service that the configuration doesn't name.
   @ParameterizedTest
