Refuse a body in a transfer coding other than chunks

What callers saw: nothing reported; a target's body with the transfer coding "gzip, chunked" was passed on still compressed, without the field that says so.

Cause: Netty's decoder removes the chunks whatever other codings are named, and Transfer-Encoding concerns one connection, so it isn't passed on. "gzip" or "identity" alone left the body without an end.

Evidence, on the code before: OddResponseTest#bodyIn* 4 of 4 red: two passed on, two waited for.

Change: StrictResponseDecoder refuses a response with any coding but chunked. No request asks for one.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/StrictResponseDecoder.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -74,14 +76,16 @@
     int from = in.readerIndex();
     int messages = out.size();
     super.decode(context, in, out);
-    Optional<String> fault = isInHead ? faultInHead(in, from) : Optional.empty();
+    List<Object> decoded = out.subList(messages, out.size());
+    Optional<String> fault =
+        isInHead ? faultInHead(in, from).or(() -> faultInFraming(decoded)) : Optional.empty();
     if (fault.isPresent()) {
-      out.subList(messages, out.size()).clear();
+      decoded.clear();
       refuse(in, out, fault.get());
       return;
     }
     isAtStart &= in.readerIndex() == from;
-    out.subList(messages, out.size()).forEach(this::onDecoded);
+    decoded.forEach(this::onDecoded);
   }
 
   private static boolean mayBeginResponse(ByteBuf in) {
@@ -99,6 +103,17 @@
         : Optional.empty();
   }
 
+  /** Returns what is wrong with the transfer codings, of which only chunks are decoded. */
+  private static Optional<String> faultInFraming(List<Object> decoded) {
+    return decoded.stream()
+        .filter(HttpResponse.class::isInstance)
+        .map(HttpResponse.class::cast)
+        .flatMap(response -> response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream())
+        .filter(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding))
+        .map(coding -> "expected chunks as the only transfer coding, found " + coding)
+        .findFirst();
+  }
+
   private static boolean hasStatusLine(ByteBuf in, int from) {
     int end = in.indexOf(from, in.readerIndex(), (byte) '\n') + 1;
     String line = in.toString(from, Math.max(0, end - from), StandardCharsets.ISO_8859_1);
--- a/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
@@ -50,22 +50,6 @@
         entry.address(), "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   }
 
-  /** Accepts the next attempt and reads its request; the entry also connects only to probe. */
-  private static Socket accept(ServerSocket at) throws IOException {
-    Socket accepted = at.accept();
-    accepted.setSoTimeout(TIMEOUT_MILLIS);
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = accepted.getInputStream().read();
-      if (next < 0) {
-        accepted.close();
-        return accept(at);
-      }
-      head.append((char) next);
-    }
-    return accepted;
-  }
-
   private static void write(Socket accepted, String text) throws IOException {
     accepted.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     accepted.getOutputStream().flush();
@@ -85,7 +69,7 @@
 
   private void assertIsNoResponse(String response) throws IOException {
     try (RawCaller caller = call("/once/x");
-        Socket first = accept(target)) {
+        Socket first = RawTarget.accept(target)) {
       write(first, response);
       awaitClose(first);
 
@@ -93,10 +77,10 @@
       assertThat(caller.await().body()).doesNotContain("good");
     }
     try (RawCaller caller = call("/any/x");
-        Socket first = accept(target);
+        Socket first = RawTarget.accept(target);
         ServerSocket other = entry.announce("u")) {
       write(first, response);
-      try (Socket second = accept(other)) {
+      try (Socket second = RawTarget.accept(other)) {
         write(second, WHOLE);
       }
       awaitClose(first);
@@ -163,7 +147,7 @@
       })
   void statusLineOfTheRightFormIsPassedOn(String statusLine) throws IOException {
     try (RawCaller caller = call("/once/x");
-        Socket first = accept(target)) {
+        Socket first = RawTarget.accept(target)) {
       write(first, statusLine + "\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood");
 
       assertThat(caller.await().head()).startsWith("HTTP/1.1 2");
@@ -229,6 +213,17 @@
     assertIsNoResponse("HTTP/1.1 200 OK\r\nsigned: 1\r\n" + line + "\r\n\r\ngood");
   }
 
+  // Guards against a body in a transfer coding that its caller is not told of.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "identity", "gzip"})
+  void bodyInOtherTransferCodingIsNoResponse(String coding) throws IOException {
+    assertIsNoResponse(
+        "HTTP/1.1 200 OK\r\nsigned: 1\r\nTransfer-Encoding: "
+            + coding
+            + "\r\n\r\n4\r\ngood\r\n0\r\n\r\n");
+  }
+
   // Guards against a response that counts as complete though its trailer is none.
   @ParameterizedTest
   @ValueSource(strings = {"X odd: 1", "X-odd : 1", ": 1", "X\u0000: 1", "X-odd: \u0001"})
@@ -252,7 +247,7 @@
       })
   void lineOfTheRightFormIsPassedOn(String line) throws IOException {
     try (RawCaller caller = call("/once/x");
-        Socket first = accept(target)) {
+        Socket first = RawTarget.accept(target)) {
       write(first, "HTTP/1.1 200 OK\r\n" + line + "\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood");
 
       assertThat(caller.await().head())
