Reject requests that are meant for a target

What callers saw: while a record of another writer named an entry's own address as a target's, callers with a valid key got 401: the request went to that entry as if from a caller, without the key, which is never passed on.

Cause: an entry answered any request as a caller's.

Change: a request that names the target that is to run it is rejected with 421 (NOT_A_TARGET, 1013), as a target rejects one for another target: it has not run, and the sender tries another target.

Why it holds: only entries name targets, whichever entry's address the record has, known or not, so no request goes round between entries.

--- a/gateway/src/main/java/dev/ibishub/gateway/front/CallerRequest.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/CallerRequest.java
@@ -14,13 +14,15 @@
  * @param lastEventId the id of the last event of a stream that the caller received
  * @param promptParts ids of the parts of its prompt that other requests may share; empty for a
  *     request without a prompt
+ * @param namesTarget whether it names the target that is to run it, as only entries do
  */
 public record CallerRequest(
     String attemptId,
     OptionalLong waitMillis,
     Optional<String> key,
     OptionalLong lastEventId,
-    List<String> promptParts) {
+    List<String> promptParts,
+    boolean namesTarget) {
   /** Copies the list of parts. */
   public CallerRequest {
     promptParts = List.copyOf(promptParts);
--- a/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/Exchange.java
@@ -128,6 +128,11 @@
 
   @Override
   public void start() {
+    if (caller.namesTarget()) {
+      // A record names the address of an entry as a target's.
+      refuse(ResultCode.NOT_A_TARGET, 0);
+      return;
+    }
     double random = ThreadLocalRandom.current().nextDouble();
     Optional<ServingConfiguration> configuration = context.configuration().get();
     if (configuration.isEmpty()) {
--- a/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/PlainDialect.java
@@ -26,7 +26,8 @@
         OptionalLong.empty(),
         List.of(request.headers().get("parts", "").split(",")).stream()
             .filter(part -> !part.isEmpty())
-            .toList());
+            .toList(),
+        request.headers().contains("target"));
   }
 
   @Override
--- a/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
+++ b/node/src/test/java/dev/ibishub/node/OddRecordEndToEndTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -145,6 +146,24 @@
     assertThat(connections).hasValue(0);
   }
 
+  // Guards against callers that are refused for a missing key, and requests that go round between
+  // entries, as a record names an entry's address as a target's.
+  @Test
+  void entryIsNoTarget() throws IOException, InterruptedException {
+    startEntries();
+    for (String entry : ENTRIES) {
+      String address = deployment.callerAddress(entry);
+      deployment.store().put("keyed.servers", ODD_ID + entry, record("pages", address));
+      deployment.await(
+          "record read", () -> deployment.logOf("entry-2").contains("\"" + ODD_ID + entry + "\""));
+    }
+
+    for (int request = 0; request < REQUESTS; request++) {
+      String entry = ENTRIES.get(request % ENTRIES.size());
+      assertThat(deployment.call(entry, "GET", "/page/x", "key-1").statusCode()).isEqualTo(200);
+    }
+  }
+
   // Guards against a service that stops after all entries have restarted, as records of another
   // writer bear the addresses of its targets and a service that the configuration doesn't name.
   @ParameterizedTest
