Close a pooled connection that gets a response to no call

What callers saw: nothing reported; a second response of an engine or the store, which arrives after the one to a call, was taken for the response to the next call on that connection, an order's too.

Cause: an idle connection of PooledHttpClient dropped what it got only while nothing was in flight, and was used again.

Evidence: PooledHttpClientTest#responseToNoCallClosesTheConnection, on the code before: the connection stays open.

Change: a connection that gets a response while it is idle is closed. One that arrives in the moment in which the next call takes the connection can't be told apart.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -22,7 +24,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AttributeKey;
 import io.netty.util.NetUtil;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -59,7 +63,11 @@
    */
   private static final long MAXIMUM_IDLE_MILLIS = 2_000;
 
+  private static final AttributeKey<Boolean> IS_IDLE =
+      AttributeKey.valueOf(PooledHttpClient.class, "idle");
+
   private final EventLoopGroup group;
+  private final IdleHandler idleHandler = new IdleHandler();
   private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
 
   private record IdleConnection(Channel channel, long reusableUntilNanos) {}
@@ -105,7 +113,8 @@
                     .pipeline()
                     .addLast(
                         new HttpRequestEncoder(),
-                        new StrictResponseDecoder(new HttpDecoderConfig(), false));
+                        new StrictResponseDecoder(new HttpDecoderConfig(), false),
+                        idleHandler);
               }
             })
         .connect(address)
@@ -129,6 +138,7 @@
       while (!connections.isEmpty()) {
         IdleConnection newest = connections.pollLast();
         if (newest.channel().isActive() && System.nanoTime() < newest.reusableUntilNanos()) {
+          newest.channel().attr(IS_IDLE).set(false);
           return newest.channel();
         }
         newest.channel().close();
@@ -137,6 +147,20 @@
     return null;
   }
 
+  /** Closes a connection that gets a response while no call is in flight. */
+  @Sharable
+  private static final class IdleHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (context.channel().hasAttr(IS_IDLE) && context.channel().attr(IS_IDLE).get()) {
+        ReferenceCountUtil.release(message);
+        context.close();
+        return;
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
   private void returnToPool(InetSocketAddress address, Channel channel) {
     Deque<IdleConnection> connections = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
     synchronized (connections) {
@@ -145,6 +169,7 @@
         channel.close();
         return;
       }
+      channel.attr(IS_IDLE).set(true);
       long reusableUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAXIMUM_IDLE_MILLIS);
       connections.addLast(new IdleConnection(channel, reusableUntil));
     }
--- a/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
@@ -176,4 +176,26 @@
           .isEqualTo("next".getBytes(StandardCharsets.ISO_8859_1));
     }
   }
+
+  // Guards against a second response to one call that is taken for that of the next.
+  @Test
+  void responseToNoCallClosesTheConnection() throws Exception {
+    CompletableFuture<HttpReply> first = call();
+    try (Socket connection = system.accept()) {
+      readHead(connection);
+      write(connection, OK + "good");
+      assertThat(first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).status()).isEqualTo(200);
+      write(connection, OK + "more");
+      connection.setSoTimeout((int) CLOSE_MILLIS);
+      assertThat(connection.getInputStream().read()).isEqualTo(-1);
+    }
+    CompletableFuture<HttpReply> second = call();
+    try (Socket connection = system.accept()) {
+      readHead(connection);
+      write(connection, OK + "next");
+      assertThat(second.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).body())
+          .asString(StandardCharsets.US_ASCII)
+          .isEqualTo("next");
+    }
+  }
 }
