Pass on renewals of a shared address only between configured services

Cause: a record of a service that no configuration names takes no part in who has an address, but made the renewals of the target there news for all entries.

Change: such records don't count for isAddressShared. Besides, a test that bodies of blanks, colons and line ends aren't taken for lines of a head (green before as well).

--- a/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/front/TargetDirectory.java
@@ -270,11 +270,12 @@
   }
 
   /**
-   * Whether other records name the address of a target, too. Each renewal of theirs may then change
-   * which of them are listed, so it is news for the other entries.
+   * Whether other records of configured services name the address of a target, too. Each renewal of
+   * theirs may then change which of them are listed, so it is news for the other entries.
    */
   public synchronized boolean isAddressShared(Target target) {
     return known.values().stream()
+        .filter(this::isOfNamedService)
         .filter(each -> !each.target().id().equals(target.id()))
         .anyMatch(each -> each.address().equals(target.address()));
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
@@ -229,6 +229,25 @@
             + "\r\n\r\n4\r\ngood\r\n0\r\n\r\n");
   }
 
+  // Guards against a body that is taken for a part of the head.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 8\r\n\r\n \t\r\n : x",
+        "Transfer-Encoding: chunked\r\n\r\n8\r\n \t\r\n : x\r\n0\r\n\r\n",
+        "\r\n \t\r\n : x"
+      })
+  void bodyThatLooksLikeOddLinesIsPassedOn(String framedBody) throws IOException {
+    try (RawCaller caller = call("/once/x");
+        Socket first = RawTarget.accept(target)) {
+      write(first, "HTTP/1.1 200 OK\r\nsigned: 1\r\n" + framedBody);
+      first.shutdownOutput();
+
+      assertThat(caller.await().isComplete()).isTrue();
+      assertThat(caller.await().body()).isEqualTo(" \t\r\n : x");
+    }
+  }
+
   // Guards against a response that counts as complete though its trailer is none.
   @ParameterizedTest
   @ValueSource(strings = {"X odd: 1", "X-odd : 1", ": 1", "X\u0000: 1", "X-odd: \u0001"})
