--- a/review/harness/src/Fleet.java
+++ b/review/harness/src/Fleet.java
@@ -15,7 +15,7 @@
   final Record record;
   final Store store;
   final Programs programs;
-  final Ranks group;
+  final List<Ranks> groups = new ArrayList<>();
   final List<Replica> replicas = new ArrayList<>();
   final int entries;
   final ConcurrentLinkedQueue<Try> tries = new ConcurrentLinkedQueue<>();
@@ -34,15 +34,21 @@
     }
   }
 
-  Fleet(Record record, Store store, Programs programs, int ranks, int experts, int entries, int seed)
+  Fleet(
+      Record record, Store store, Programs programs, int number, int ranks, int experts,
+      int entries, int seed)
       throws IOException {
     this.record = record;
     this.store = store;
     this.programs = programs;
     this.entries = entries;
-    group = new Ranks(ranks, experts, record);
-    for (int rank = 0; rank < ranks; rank++) {
-      Replica replica = new Replica("i-" + rank, rank, host(rank), group, record, seed);
+    for (int group = 0; group < number; group++) {
+      groups.add(new Ranks("g" + group, ranks, experts, record));
+    }
+    for (int index = 0; index < number * ranks; index++) {
+      Ranks group = groups.get(index / ranks);
+      Replica replica =
+          new Replica("i-" + index, index % ranks, host(index), group, record, seed);
       replicas.add(replica);
       store.put("keyed.servers", replica.id, replica.announcement("coder-llm", "z1", 1));
     }
@@ -62,25 +68,27 @@
             + "\"form_ms\":500}}],\"limits\":{}}");
   }
 
-  static String host(int rank) {
-    return "127.0.3." + (rank + 1);
+  static String host(int index) {
+    return "127.0.3." + (index + 1);
   }
 
   /** Starts passes and all processes; returns whether the entries are ready. */
   boolean start(long passMillis) throws IOException, InterruptedException {
-    Replica.daemon(
-        () -> {
-          try {
-            group.run(passMillis);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
-        });
+    for (Ranks group : groups) {
+      Replica.daemon(
+          () -> {
+            try {
+              group.run(passMillis);
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+          });
+    }
     for (int entry = 1; entry <= entries; entry++) {
       programs.startEntry("entry-" + entry, "127.0.1." + entry, "z1", true);
     }
-    for (Replica replica : replicas) {
-      programs.startAgent("agent-" + replica.rank, host(replica.rank), "z1", replica.address());
+    for (int index = 0; index < replicas.size(); index++) {
+      programs.startAgent("agent-" + index, host(index), "z1", replicas.get(index).address());
     }
     for (int entry = 1; entry <= entries; entry++) {
       if (!programs.awaitReady("entry-" + entry, 25_000)) {
--- a/review/harness/src/Ranks.java
+++ b/review/harness/src/Ranks.java
@@ -14,6 +14,7 @@
   static final int SPARE = 4;
   static final long COPY_MILLIS = 150;
 
+  final String name;
   final int size;
   final int experts;
   final Record record;
@@ -44,6 +45,11 @@
   }
 
   Ranks(int size, int experts, Record record) {
+    this("g", size, experts, record);
+  }
+
+  Ranks(String name, int size, int experts, Record record) {
+    this.name = name;
     this.size = size;
     this.experts = experts;
     this.record = record;
@@ -141,7 +147,7 @@
     return "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
         + "\"busy\":false,\"sequence\":" + rank.sequence + ",\"waiting\":0,\"running\":" + waiting
         + ",\"kv_used\":0,\"kv_total\":400000,\"handles\":0,\"pace\":1,"
-        + "\"group\":{\"name\":\"g\",\"epoch\":" + epoch + ",\"rank\":" + number
+        + "\"group\":{\"name\":\"" + name + "\",\"epoch\":" + epoch + ",\"rank\":" + number
         + ",\"state\":\"open\"},\"size\":" + size + ",\"step\":" + step
         + ",\"map\":" + rank.map
         + ",\"prepared\":" + (isPrepared(rank) ? rank.prepared : 0)
--- a/review/harness/src/Replica.java
+++ b/review/harness/src/Replica.java
@@ -49,7 +49,7 @@
     this.host = host;
     this.group = group;
     this.record = record;
-    this.random = new Random(seed * 1_000 + rank);
+    this.random = new Random(seed * 1_000 + id.hashCode());
     server = new ServerSocket(0, 200, InetAddress.getByName(host));
     daemon(this::accept);
   }
