Log which thread holds the lock that an event loop waits for

An entry whose event loop stands still for good logged one line, loop.held, with the frames of the loop, 250 ms after it had stopped, and nothing more. It can't be told from a loop that is busy, or that waits for a while; the thread at the other end, and that there is one, is in no log and no metric, and the metrics page is served by the loop that stands still.

Change: loop.held also has the state of the loop's thread, and where that waits for a lock, the lock, its holder, where that is, and whether the two wait for each other. It is logged again each time that the delay has doubled.

Measured: EventLoopMonitorTest (5 cases, two new) green. Before, of the two new ones, the second has no such fields to look at, and the first got one line only.

--- a/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
@@ -3,16 +3,22 @@
 import com.google.common.flogger.FluentLogger;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 /**
  * Measures how late an event loop runs the tasks that are due on it, and logs what held it when
  * that is long. Thread-safe.
  *
  * <p>The loop reports when its next task is due and when it runs it. A thread of its own looks at
- * the loop while that task is overdue, and logs where the loop is. If that thread was as late
- * itself, the whole process stood still: it collected garbage, or got no processor.
+ * the loop while that task is overdue, and logs where the loop is, and for a loop that waits for a
+ * lock, which thread holds that and where. If the watching thread was as late itself, the whole
+ * process stood still: it collected garbage, or got no processor.
  */
 public final class EventLoopMonitor {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -30,6 +36,7 @@
   private volatile Thread loop;
   private volatile long dueAt = NOTHING_DUE;
   private volatile long loggedDueAt = NOTHING_DUE;
+  private volatile long nextLogAt;
 
   /**
    * Creates a monitor without a watching thread.
@@ -83,28 +90,68 @@
   }
 
   /**
-   * Logs where the loop is, if its task is overdue and this was not logged before.
+   * Logs where the loop is, if its task is overdue. While the same task stays overdue it is logged
+   * again each time that its delay has doubled.
    *
    * @param lookDueAt when this look was due, on the monotonic clock, milliseconds
    * @return whether it was logged
    */
   boolean look(long lookDueAt, long now) {
+    return describe(lookDueAt, now)
+        .map(
+            event -> {
+              logger.atWarning().log("%s", event);
+              return true;
+            })
+        .orElse(false);
+  }
+
+  /** Returns what {@link #look} logs; empty if nothing is due to be logged. */
+  Optional<LogEvent> describe(long lookDueAt, long now) {
     long due = dueAt;
-    if (loop == null || due == NOTHING_DUE || due == loggedDueAt || now - due < LATE_MILLIS) {
-      return false;
+    if (loop == null || due == NOTHING_DUE || now - due < LATE_MILLIS) {
+      return Optional.empty();
+    }
+    if (due == loggedDueAt && now < nextLogAt) {
+      return Optional.empty();
     }
     loggedDueAt = due;
-    logger.atWarning().log(
-        "%s",
+    nextLogAt = now + (now - due);
+    LogEvent event =
         LogEvent.of("loop.held")
             .with("late_ms", now - due)
             .with("watcher_late_ms", Math.max(0, now - lookDueAt))
-            .with("at", frames(loop)));
-    return true;
+            .with("state", loop.getState())
+            .with("at", frames(loop.getStackTrace()));
+    return Optional.of(loop.getState() == Thread.State.RUNNABLE ? event : withLockOwner(event));
+  }
+
+  /** Adds what the loop waits for, which thread holds that, and whether that one waits for it. */
+  private LogEvent withLockOwner(LogEvent event) {
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    Optional<ThreadInfo> waiting =
+        Optional.ofNullable(threads.getThreadInfo(loop.getId()))
+            .filter(info -> info.getLockOwnerId() >= 0);
+    Optional<ThreadInfo> owner =
+        waiting.map(info -> threads.getThreadInfo(info.getLockOwnerId(), LOGGED_FRAMES));
+    if (waiting.isEmpty() || owner.isEmpty()) {
+      return event;
+    }
+    return event
+        .with("waits_for", waiting.get().getLockName())
+        .with("held_by", owner.get().getThreadName())
+        .with("holder_at", frames(owner.get().getStackTrace()))
+        .with("deadlock", isDeadlocked(threads));
+  }
+
+  private boolean isDeadlocked(ThreadMXBean threads) {
+    return Optional.ofNullable(threads.findDeadlockedThreads())
+        .map(ids -> LongStream.of(ids).anyMatch(id -> id == loop.getId()))
+        .orElse(false);
   }
 
-  private static String frames(Thread thread) {
-    return Arrays.stream(thread.getStackTrace())
+  private static String frames(StackTraceElement[] frames) {
+    return Arrays.stream(frames)
         .limit(LOGGED_FRAMES)
         .map(frame -> frame.getClassName() + "." + frame.getMethodName())
         .collect(Collectors.joining(" < "));
--- a/runtime/src/test/java/dev/ibishub/runtime/EventLoopMonitorTest.java
+++ b/runtime/src/test/java/dev/ibishub/runtime/EventLoopMonitorTest.java
@@ -4,6 +4,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
 final class EventLoopMonitorTest {
@@ -55,4 +56,63 @@
 
     assertThat(monitor.look(LATE, LATE)).isFalse();
   }
+
+  // Guards against a log in which a loop that stands still for good looks like a slow one.
+  @Test
+  void heldLoopIsLoggedAgainWhenItsDelayHasDoubled() {
+    monitor.onTask(DUE - 100);
+    monitor.onNextTask(DUE);
+    monitor.look(LATE, LATE);
+
+    long doubled = LATE + EventLoopMonitor.LATE_MILLIS;
+    assertThat(monitor.look(doubled - 1, doubled - 1)).isFalse();
+    assertThat(monitor.look(doubled, doubled)).isTrue();
+    assertThat(monitor.look(doubled + 100, doubled + 100)).isFalse();
+  }
+
+  // Guards against a deadlock that can't be told from a loop that is busy or waits for a while.
+  @Test
+  void deadlockNamesLockAndItsHolder() throws InterruptedException {
+    Object first = new Object();
+    Object second = new Object();
+    CountDownLatch bothHold = new CountDownLatch(2);
+    Thread loop =
+        startDaemon(
+            "loop",
+            () -> {
+              monitor.onTask(DUE - 100);
+              monitor.onNextTask(DUE);
+              lockInOrder(first, second, bothHold);
+            });
+    Thread other = startDaemon("other", () -> lockInOrder(second, first, bothHold));
+    while (loop.getState() != Thread.State.BLOCKED || other.getState() != Thread.State.BLOCKED) {
+      Thread.sleep(1);
+    }
+
+    assertThat(monitor.describe(LATE, LATE).orElseThrow().toString())
+        .contains(" state=BLOCKED ", " held_by=other ", " deadlock=true")
+        .contains(" waits_for=java.lang.Object@")
+        .containsPattern("holder_at=\"[^\"]*lockInOrder");
+  }
+
+  private static Thread startDaemon(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+    return thread;
+  }
+
+  private static void lockInOrder(Object outer, Object inner, CountDownLatch bothHold) {
+    synchronized (outer) {
+      bothHold.countDown();
+      try {
+        bothHold.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      synchronized (inner) {
+        bothHold.countDown();
+      }
+    }
+  }
 }
