Watch the event loop also while its own tick runs

What an operator saw: nothing.

Cause: the monitor forgot the task that was due as soon as that began, and the next one was due only once it had ended. The loop was stopped within a tick, so that nothing counted as overdue ever after.

--- a/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
@@ -16,9 +16,9 @@
  * that is long. Thread-safe.
  *
  * <p>The loop reports when its next task is due and when it runs it. A thread of its own looks at
- * the loop while that task is overdue, and logs where the loop is, and for a loop that waits for a
- * lock, which thread holds that and where. If the watching thread was as late itself, the whole
- * process stood still: it collected garbage, or got no processor.
+ * the loop while that task is overdue or doesn't end, and logs where the loop is, and for a loop
+ * that waits for a lock, which thread holds that and where. If the watching thread was as late
+ * itself, the whole process stood still: it collected garbage, or got no processor.
  */
 public final class EventLoopMonitor {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -35,7 +35,11 @@
   private final Histogram delays;
   private volatile Thread loop;
   private volatile long dueAt = NOTHING_DUE;
-  private volatile long loggedDueAt = NOTHING_DUE;
+
+  /** When the task was due that is overdue, or the running one began. */
+  private volatile long heldSince = NOTHING_DUE;
+
+  private volatile long loggedHeldSince = NOTHING_DUE;
   private volatile long nextLogAt;
 
   /**
@@ -61,37 +65,41 @@
   }
 
   /**
-   * Takes in that the task that was due runs; called on the loop.
+   * Takes in that the task that was due begins; called on the loop. Until {@link #onNextTask} the
+   * loop counts as held by it.
    *
    * @param now current time of the monotonic clock, milliseconds
    */
   public void onTask(long now) {
     loop = Thread.currentThread();
     long due = dueAt;
+    dueAt = NOTHING_DUE;
+    heldSince = now;
     if (due == NOTHING_DUE) {
       return;
     }
-    dueAt = NOTHING_DUE;
     long late = Math.max(0, now - due);
     delays.observe(late / 1_000.0);
     if (late >= LATE_MILLIS) {
       logger.atWarning().log(
-          "%s", LogEvent.of("loop.late").with("late_ms", late).with("watched", loggedDueAt == due));
+          "%s",
+          LogEvent.of("loop.late").with("late_ms", late).with("watched", loggedHeldSince == due));
     }
   }
 
   /**
-   * Sets when the next task is due; called on the loop.
+   * Sets when the next task is due, once the last one has ended; called on the loop.
    *
    * @param at on the monotonic clock, milliseconds
    */
   public void onNextTask(long at) {
     dueAt = at;
+    heldSince = at;
   }
 
   /**
-   * Logs where the loop is, if its task is overdue. While the same task stays overdue it is logged
-   * again each time that its delay has doubled.
+   * Logs where the loop is, if its task is overdue or doesn't end. While that is so it is logged
+   * again each time that the delay has doubled.
    *
    * @param lookDueAt when this look was due, on the monotonic clock, milliseconds
    * @return whether it was logged
@@ -108,18 +116,18 @@
 
   /** Returns what {@link #look} logs; empty if nothing is due to be logged. */
   Optional<LogEvent> describe(long lookDueAt, long now) {
-    long due = dueAt;
-    if (loop == null || due == NOTHING_DUE || now - due < LATE_MILLIS) {
+    long since = heldSince;
+    if (loop == null || since == NOTHING_DUE || now - since < LATE_MILLIS) {
       return Optional.empty();
     }
-    if (due == loggedDueAt && now < nextLogAt) {
+    if (since == loggedHeldSince && now < nextLogAt) {
       return Optional.empty();
     }
-    loggedDueAt = due;
-    nextLogAt = now + (now - due);
+    loggedHeldSince = since;
+    nextLogAt = now + (now - since);
     LogEvent event =
         LogEvent.of("loop.held")
-            .with("late_ms", now - due)
+            .with("late_ms", now - since)
             .with("watcher_late_ms", Math.max(0, now - lookDueAt))
             .with("state", loop.getState())
             .with("at", frames(loop.getStackTrace()));
