Complete orders that time out on the event loop that owns the expert maps

What callers saw: the leading entry stopped for good, mostly within a minute of slow machines and agents that stand still. Its requests got no answer, nor did the question whether it is ready; its process went on and its kernel accepted connections.

Cause: two locks in both orders. On the event loop, RankLinks.tick held its lock and asked ExpertController, which takes its own, whether counts are wanted. An order without a reply completed on the thread of CompletableFuture's timeouts, and what followed there, GroupRebalancer.onResult, held the controller's lock and sent the next order through RankLinks.

Ways: (1) one thread owns the state, replies and timeouts complete on it; (2) no call out under a lock; (3) an order of locks. (1) is taken: an entry has one event loop, on which all else that touches this state ran already, so the locks protected it from the timeouts alone; and a result handled there can't come between two steps of a tick. (2) would keep two locks that nothing contends for and split each decision in what is decided and what is sent; (3) has to be kept by everyone who calls a predicate or a sender.

Change: Timeouts completes futures on threads that the caller names. RankLinks, ExpertController, GroupRebalancer and RankPaths have no locks and belong to the event loop; ThreadConfinement rejects a second thread.

Measured: OrderTimeoutTest makes the thread of the timeout, where there is one, take the controller's lock while the loop is within RankLinks.tick: failed 3 of 3 on the code before (the tick did not end within 20 s), green now. NodeEndToEndTest, ExpertControllerTest, TimeoutsTest, ThreadConfinementTest green.

--- a/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/ExpertController.java
@@ -8,6 +8,7 @@
 import dev.ibishub.gateway.model.ServingConfiguration;
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.ThreadConfinement;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
@@ -17,8 +18,9 @@
 import java.util.function.Supplier;
 
 /**
- * Keeps the expert maps of all groups matched to the demand, while this entry leads. Thread-safe by
- * one lock.
+ * Keeps the expert maps of all groups matched to the demand, while this entry leads. Not
+ * thread-safe: all methods are called on the entry's event loop, and results of orders complete on
+ * it.
  *
  * <p>Used on the platform of ibishub's users; the counterpart behind ibishub's own interface is
  * {@code dev.ibishub.entry.GroupLeads}.
@@ -39,6 +41,7 @@
   private final ClockFencingTokens tokens;
   private final InstantSource clock;
   private final Map<String, Long> pauseByService = new HashMap<>();
+  private final ThreadConfinement confinement = new ThreadConfinement();
   private long pausesConfigurationVersion = NO_VERSION;
   private boolean isLeading;
 
@@ -47,7 +50,7 @@
    *
    * @param targets the targets of the ranks
    * @param configuration returns the configuration in force, if there is one
-   * @param orderSender sends orders to engines
+   * @param orderSender sends orders to engines; its results complete on the thread that calls this
    * @param clock the time of day, for fencing tokens and map versions
    */
   public ExpertController(
@@ -68,7 +71,8 @@
    *
    * @param leads whether this entry is the leader
    */
-  public synchronized void tick(boolean leads, long now) {
+  public void tick(boolean leads, long now) {
+    confinement.check();
     if (leads != isLeading) {
       isLeading = leads;
       groups.clear();
@@ -80,12 +84,14 @@
   }
 
   /** Whether expert counts from a host are needed. */
-  public synchronized boolean wantsPicks(String host) {
+  public boolean wantsPicks(String host) {
+    confinement.check();
     return groups.values().stream().allMatch(group -> group.wantsPicks(host));
   }
 
   @Override
-  public synchronized void onState(String host, RankState state, long now) {
+  public void onState(String host, RankState state, long now) {
+    confinement.check();
     if (!isLeading || state.membership().isEmpty()) {
       return;
     }
@@ -110,7 +116,7 @@
               tokens,
               clock,
               heldByHost,
-              this);
+              confinement);
       groups.put(membership.group(), rebalancer);
       logger.atInfo().log(
           "%s",
@@ -124,12 +130,14 @@
   }
 
   @Override
-  public synchronized void onPicks(String host, RankEngine.Picks picks, long now) {
+  public void onPicks(String host, RankEngine.Picks picks, long now) {
+    confinement.check();
     groups.values().forEach(group -> group.onPicks(host, picks, now));
   }
 
   @Override
-  public synchronized void onMap(String host, RankEngine.HeldMap map) {
+  public void onMap(String host, RankEngine.HeldMap map) {
+    confinement.check();
     // Stored by host, since an agent sends a map once, possibly before its first report says which
     // group it belongs to.
     heldByHost.put(host, map);
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/GroupRebalancer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/GroupRebalancer.java
@@ -14,6 +14,7 @@
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.runtime.ThreadConfinement;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
@@ -30,8 +31,8 @@
 
 /**
  * Plans maps for one group of ranks and switches the group to them, while this entry leads. Not
- * thread-safe: all methods are called under the lock that is passed to the constructor, and replies
- * to orders take the same lock.
+ * thread-safe: all methods are called on the thread of the {@link ExpertController}, and results of
+ * orders complete on it.
  *
  * <p>Used on the platform of ibishub's users; the counterpart behind ibishub's own interface is
  * {@code dev.ibishub.entry.GroupController}.
@@ -85,7 +86,7 @@
   private final Predicate<Target> takesRequests;
   private final RankOrderSender orderSender;
   private final InstantSource clock;
-  private final Object lock;
+  private final ThreadConfinement confinement;
   private final MapSwitch mapSwitch;
   private final ExpertDemand demand;
   private final Map<Integer, Target> targetByRank = new HashMap<>();
@@ -111,7 +112,7 @@
       FencingTokenSource tokens,
       InstantSource clock,
       Map<String, RankEngine.HeldMap> heldByHost,
-      Object lock) {
+      ThreadConfinement confinement) {
     this.group = group;
     this.size = size;
     this.profile = profile;
@@ -120,7 +121,7 @@
     this.orderSender = orderSender;
     this.clock = clock;
     this.heldByHost = heldByHost;
-    this.lock = lock;
+    this.confinement = confinement;
     this.mapSwitch = new MapSwitch(size, tokens);
     this.demand = new ExpertDemand(profile.layers(), profile.experts(), DEMAND_WINDOW_MILLIS);
     this.sampledRanks = chooseSample();
@@ -319,12 +320,11 @@
   }
 
   private void onResult(RankCommand command, RankOrder.Result result) {
-    synchronized (lock) {
-      long now = MonotonicClock.millis();
-      mapSwitch.onResult(command, RankCommand.Result.valueOf(result.name()), now);
-      mapSwitch.tick(now).forEach(this::send);
-      logPhase(now);
-    }
+    confinement.check();
+    long now = MonotonicClock.millis();
+    mapSwitch.onResult(command, RankCommand.Result.valueOf(result.name()), now);
+    mapSwitch.tick(now).forEach(this::send);
+    logPhase(now);
   }
 
   private Optional<Integer> rankAt(String host) {
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankLinks.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import dev.ibishub.runtime.ThreadConfinement;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.LinkListener;
 import dev.ibishub.wire.WireTransport;
@@ -14,13 +16,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 
 /**
- * The links of an entry to the agents beside targets. Thread-safe by one lock.
+ * The links of an entry to the agents beside targets. Not thread-safe: all methods are called on
+ * the event loop of the transport, and replies to orders, timeouts included, complete on it.
  *
  * <p>An agent listens at the IP number of its target, so no discovery is needed.
  *
@@ -43,11 +43,12 @@
   private final int linkPort;
   private final LoadRelay loads;
   private final RankListener listener;
+  private final Timeouts timeouts;
+  private final ThreadConfinement confinement = new ThreadConfinement();
   private final Map<String, Agent> agents = new HashMap<>();
-  private final Map<Link, String> hostByLink = new ConcurrentHashMap<>();
-  private final Map<Long, CompletableFuture<RankOrder.Result>> pendingReplies =
-      new ConcurrentHashMap<>();
-  private final AtomicLong lastCallId = new AtomicLong();
+  private final Map<Link, String> hostByLink = new HashMap<>();
+  private final Map<Long, CompletableFuture<RankOrder.Result>> pendingReplies = new HashMap<>();
+  private long lastCallId;
   private long nextWatchAt;
   private boolean wasWatching;
 
@@ -76,12 +77,19 @@
    * @param linkPort the port at which agents listen
    * @param loads receives the load of targets
    * @param listener receives all that agents report
+   * @param timeouts complete orders without a reply, on the event loop of the transport
    */
-  public RankLinks(WireTransport transport, int linkPort, LoadRelay loads, RankListener listener) {
+  public RankLinks(
+      WireTransport transport,
+      int linkPort,
+      LoadRelay loads,
+      RankListener listener,
+      Timeouts timeouts) {
     this.transport = transport;
     this.linkPort = linkPort;
     this.loads = loads;
     this.listener = listener;
+    this.timeouts = timeouts;
   }
 
   /**
@@ -91,8 +99,8 @@
    * @param watches whether this entry wants expert counts and maps besides the load
    * @param picks whether the expert counts from a host are wanted
    */
-  public synchronized void tick(
-      Set<String> wanted, boolean watches, Predicate<String> picks, long now) {
+  public void tick(Set<String> wanted, boolean watches, Predicate<String> picks, long now) {
+    confinement.check();
     agents.entrySet().removeIf(agent -> closeIfUnwanted(agent.getKey(), agent.getValue(), wanted));
     wanted.forEach(host -> connectIfMissing(host, now));
     if (watches) {
@@ -114,17 +122,16 @@
     if (link.isEmpty()) {
       return Optional.empty();
     }
-    long id = lastCallId.incrementAndGet();
+    lastCallId++;
+    long id = lastCallId;
     CompletableFuture<RankOrder.Result> reply = new CompletableFuture<>();
     pendingReplies.put(id, reply);
     if (!link.get().offer(RankMessages.order(id, order))) {
       pendingReplies.remove(id);
       return Optional.empty();
     }
-    reply
-        .completeOnTimeout(RankOrder.Result.UNKNOWN, REPLY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        .whenComplete((result, failure) -> pendingReplies.remove(id));
-    return Optional.of(reply);
+    reply.whenComplete((result, failure) -> pendingReplies.remove(id));
+    return Optional.of(timeouts.complete(reply, RankOrder.Result.UNKNOWN, REPLY_TIMEOUT_MILLIS));
   }
 
   /** Whether there is an open link to the agent at a host. */
@@ -139,6 +146,7 @@
 
   @Override
   public void onFrame(Link link, Frame frame) {
+    confinement.check();
     String host = hostByLink.get(link);
     if (host == null) {
       return;
@@ -157,6 +165,7 @@
 
   @Override
   public void onClose(Link link) {
+    confinement.check();
     String host = hostByLink.remove(link);
     logger.atInfo().log(
         "%s",
@@ -177,7 +186,8 @@
     }
   }
 
-  private synchronized Optional<Link> linkTo(String host) {
+  private Optional<Link> linkTo(String host) {
+    confinement.check();
     return Optional.ofNullable(agents.get(host)).map(agent -> agent.link).filter(Link::isOpen);
   }
 
@@ -215,7 +225,8 @@
         .whenComplete((link, failure) -> onConnected(host, agent, link));
   }
 
-  private synchronized void onConnected(String host, Agent agent, Link link) {
+  private void onConnected(String host, Agent agent, Link link) {
+    confinement.check();
     agent.isConnecting = false;
     agent.nextConnectAt = MonotonicClock.millis() + CONNECT_RETRY_MILLIS;
     agent.link = link;
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankOrderSender.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankOrderSender.java
@@ -9,7 +9,8 @@
   /**
    * Sends an order.
    *
-   * @return the outcome; never completes exceptionally
+   * @return the outcome, which completes on the thread that calls this; never completes
+   *     exceptionally
    */
   CompletableFuture<RankOrder.Result> send(Target target, RankOrder order);
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/experts/RankPaths.java
@@ -5,16 +5,17 @@
 import dev.ibishub.gateway.model.Target;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonotonicClock;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
 /**
  * The routes to a rank: through its agent, or directly to its engine if the agent does not answer.
- * Thread-safe.
+ * Not thread-safe: all methods are called on the entry's event loop.
  *
  * <p>Guards against a group that waits at a held step because an agent stopped, or because the link
  * to it went silent, which is detected only after two seconds. Direct orders are charged for, so
@@ -34,8 +35,8 @@
   private final TargetDirectory targets;
   private final LoadRelay loads;
   private final RankLinks.RankListener listener;
-  private final Set<String> unansweredHosts = ConcurrentHashMap.newKeySet();
-  private final Map<String, Long> nextPollAt = new ConcurrentHashMap<>();
+  private final Set<String> unansweredHosts = new HashSet<>();
+  private final Map<String, Long> nextPollAt = new HashMap<>();
 
   /**
    * Creates the routes.
--- a/node/src/main/java/dev/ibishub/node/EntryNode.java
+++ b/node/src/main/java/dev/ibishub/node/EntryNode.java
@@ -41,6 +41,7 @@
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.runtime.PacedTasks;
 import dev.ibishub.runtime.ProcessSignals;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.NodeSettings;
 import dev.ibishub.wire.Identity;
 import dev.ibishub.wire.LinkLimits;
@@ -72,7 +73,10 @@
 final class EntryNode {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Threads for connections. A VM has about one core, so a second one would only add wake-ups. */
+  /**
+   * Threads for connections. A VM has about one core, so a second one would only add wake-ups, and
+   * what has no lock of its own relies on there being one.
+   */
   private static final int IO_THREADS = 1;
 
   /** Interval between ticks of an entry that leads or has just started, milliseconds. */
@@ -174,7 +178,7 @@
             (target, order) -> paths().send(target, order),
             InstantSource.system());
     loads = new LoadRelay(targets, mesh::broadcast);
-    ranks = new RankLinks(transport, settings.linkPort(), loads, experts);
+    ranks = new RankLinks(transport, settings.linkPort(), loads, experts, Timeouts.on(ticker));
     paths =
         new RankPaths(
             ranks,
