Call nothing outside of the mesh and the store's followers under their locks

What callers saw: nothing yet.

PeerMesh.sendHeartbeats asked, under its lock, whether the entry is ready, which takes the lock of RecordFollower; a record of an entry that RecordFollower applied, under its lock, adds a host to PeerMesh. Both orders were on the event loop alone, so they could not meet.

Change: PeerMesh collects sends, connects and closes under its lock and carries them out after it, and asks for the entry's own state before it. RecordFollower and StoreTopics, whose listeners have to see a batch as a whole, belong to the event loop, as the expert maps do, and have no lock. StoreReturnTest ticked them on the test's thread while responses came on the loop; it ticks on the loop now, its checks are the same.

--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -39,7 +39,7 @@
 
 /**
  * The links between entries, and the heartbeats and reports that they exchange. Thread-safe by one
- * lock.
+ * lock, under which nothing outside of this class and its roster is called.
  *
  * <p>Each entry links to the first few in the order of {@link EntryRoster}, its relays, which tell
  * it of all others. Entries are found through the seeds in the settings, the platform's store, and
@@ -177,6 +177,13 @@
     private List<EntryFacts> receivedRoster = List.of();
   }
 
+  /**
+   * A message that is due.
+   *
+   * @param rosterVersion the version of the roster that the peer has once it got the message
+   */
+  private record Heartbeat(Link link, Frame frame, long rosterVersion) {}
+
   /** The attempts to connect to one host. */
   private static final class ConnectState {
     private long nextAttemptAt;
@@ -204,20 +211,27 @@
   }
 
   /** Sends heartbeats, and opens and closes links, as they fall due. To be called often. */
-  public synchronized void tick(long now) {
+  public void tick(long now) {
+    advance(self.facts(), now).forEach(Runnable::run);
+  }
+
+  /** Returns the sends, connects and closes that are due. */
+  private synchronized List<Runnable> advance(EntryFacts own, long now) {
     if (mayLeadFrom == 0 || now - lastTickAt > STALL_MILLIS) {
       // A stalled process has not heard the others and must not conclude that they are gone.
       mayLeadFrom = now + SETTLING_MILLIS;
     }
     lastTickAt = now;
+    List<Runnable> due = new ArrayList<>();
     if (now >= nextHeartbeatAt) {
       nextHeartbeatAt = now + HEARTBEAT_MILLIS;
-      sendHeartbeats(now);
+      heartbeats(own, now).forEach(heartbeat -> due.add(() -> send(heartbeat)));
     }
     if (now >= nextLinkCheckAt) {
       nextLinkCheckAt = now + LINK_CHECK_MILLIS;
-      checkLinks(now);
+      due.addAll(checkLinks(now));
     }
+    return due;
   }
 
   /** Sends a message to all linked entries. */
@@ -291,12 +305,12 @@
   }
 
   /** Returns the addresses at which callers may send requests, this entry's own first. */
-  public synchronized List<String> callerAddresses(long now) {
+  public List<String> callerAddresses(long now) {
     List<String> addresses = new ArrayList<>();
     if (self.isReady().getAsBoolean() && !self.isLeaving().getAsBoolean()) {
       addresses.add(self.callerAddress());
     }
-    roster.alive(now).stream()
+    alive(now).stream()
         .filter(entry -> entry.isReady() && !entry.isLeaving())
         .map(EntryFacts::callerAddress)
         .filter(address -> !address.isEmpty() && !address.equals(self.callerAddress()))
@@ -305,6 +319,10 @@
     return addresses;
   }
 
+  private synchronized List<EntryFacts> alive(long now) {
+    return roster.alive(now);
+  }
+
   /** Returns the number of entries that send requests to targets, including this one. */
   public synchronized int entries(long now) {
     return 1 + roster.countAlive(now);
@@ -322,9 +340,9 @@
   }
 
   /** Returns the hosts of the entries that are not leaving, including this one unless it is. */
-  public synchronized Set<String> stayingHosts(long now) {
+  public Set<String> stayingHosts(long now) {
     Stream<String> others =
-        roster.alive(now).stream().filter(entry -> !entry.isLeaving()).map(EntryFacts::host);
+        alive(now).stream().filter(entry -> !entry.isLeaving()).map(EntryFacts::host);
     Stream<String> own = Stream.of(self.host()).filter(any -> !self.isLeaving().getAsBoolean());
     return Stream.concat(own, others).collect(Collectors.toUnmodifiableSet());
   }
@@ -338,8 +356,8 @@
    * Whether this entry is the leader. Two entries may be so for a short while; whatever a leader
    * does must tolerate that.
    */
-  public synchronized boolean leads(long now) {
-    return hasSettled(now) && isAmongFirst(1, now);
+  public boolean leads(long now) {
+    return isAmongFirst(1, now) && hasSettled(now);
   }
 
   /**
@@ -352,7 +370,7 @@
   }
 
   /** Whether this entry has had time to hear the others since its start or its last stall. */
-  private boolean hasSettled(long now) {
+  private synchronized boolean hasSettled(long now) {
     return mayLeadFrom != 0
         && now >= mayLeadFrom
         && (now >= mayLeadFrom + EXTRA_SETTLING_MILLIS || !roster.isAnyPending(now));
@@ -364,28 +382,31 @@
    *
    * @param places the number of entries wanted
    */
-  public synchronized boolean isAmongFirst(int places, long now) {
+  public boolean isAmongFirst(int places, long now) {
+    return !self.isLeaving().getAsBoolean() && mayShareWork(now) && position(now) < places;
+  }
+
+  private synchronized boolean mayShareWork(long now) {
     return now >= mayLeadFrom - SETTLING_MILLIS + SHARED_WORK_SETTLING_MILLIS
-        && now - lastTickAt <= STALL_MILLIS
-        && !self.isLeaving().getAsBoolean()
-        && roster.position(now) < places;
+        && now - lastTickAt <= STALL_MILLIS;
   }
 
   @Override
   public void onOpen(Link link) {
-    synchronized (this) {
-      PeerState state = links.computeIfAbsent(link, any -> new PeerState());
-      // The next regular heartbeat may be 200 ms away; until it arrives the peer knows nothing of
-      // this entry.
-      long now = MonotonicClock.millis();
-      directRoster = directRoster.next(roster.heardDirectly(now));
-      if (link.offer(HeartbeatMessages.frame(self.facts(), directRoster, false, now))) {
-        state.sentRosterVersion = directRoster.version();
-      }
-    }
+    // The next regular heartbeat may be 200 ms away; until it arrives the peer knows nothing of
+    // this
+    // entry.
+    send(firstHeartbeat(link, self.facts(), MonotonicClock.millis()));
     snapshots.get().forEach(link::offer);
   }
 
+  private synchronized Heartbeat firstHeartbeat(Link link, EntryFacts own, long now) {
+    links.computeIfAbsent(link, any -> new PeerState());
+    directRoster = directRoster.next(roster.heardDirectly(now));
+    return new Heartbeat(
+        link, HeartbeatMessages.frame(own, directRoster, false, now), directRoster.version());
+  }
+
   @Override
   public void onFrame(Link link, Frame frame) {
     listener.onReceived().accept(frame);
@@ -463,7 +484,7 @@
     others.stream().filter(link -> !link.equals(from)).forEach(link -> link.offer(frame));
   }
 
-  private void checkLinks(long now) {
+  private List<Runnable> checkLinks(long now) {
     hostsToLink = new HashSet<>(roster.hostsToLink(now));
     hostsLinkedByAll = roster.hostsLinkedByAll();
     Set<String> linked =
@@ -474,24 +495,33 @@
     connectStates
         .keySet()
         .removeIf(host -> !hostsToLink.contains(host) && !connectStates.get(host).isInProgress);
-    hostsToLink.stream().filter(host -> !linked.contains(host)).forEach(host -> connect(host, now));
-    Map.copyOf(links).forEach((link, state) -> closeIfUnwanted(link, state, now));
+    List<Runnable> changes = new ArrayList<>();
+    hostsToLink.stream()
+        .filter(host -> !linked.contains(host))
+        .filter(host -> mayConnect(host, now))
+        .forEach(
+            host -> {
+              connectStates.get(host).isInProgress = true;
+              changes.add(() -> connect(host));
+            });
+    links.forEach(
+        (link, state) -> {
+          if (unwantedMillis(state, now) >= UNWANTED_LINK_MILLIS) {
+            changes.add(link::close);
+          }
+        });
     logChanges(now);
+    return changes;
   }
 
   /**
-   * Closes a link that this entry opened and no longer needs. The peer closes the links that it
-   * opened itself.
+   * Returns for how long a link that this entry opened is no longer needed, milliseconds. The peer
+   * closes the links that it opened itself.
    */
-  private void closeIfUnwanted(Link link, PeerState state, long now) {
-    if (!state.isOpenedHere || hostsToLink.contains(state.host)) {
-      state.unwantedSince = Long.MAX_VALUE;
-      return;
-    }
-    state.unwantedSince = Math.min(state.unwantedSince, now);
-    if (now - state.unwantedSince >= UNWANTED_LINK_MILLIS) {
-      link.close();
-    }
+  private long unwantedMillis(PeerState state, long now) {
+    boolean isUnwanted = state.isOpenedHere && !hostsToLink.contains(state.host);
+    state.unwantedSince = isUnwanted ? Math.min(state.unwantedSince, now) : Long.MAX_VALUE;
+    return isUnwanted ? now - state.unwantedSince : 0;
   }
 
   private void logChanges(long now) {
@@ -510,40 +540,56 @@
         "%s", LogEvent.of(event).with("host", host).with("alive", aliveHosts.size()));
   }
 
-  /** Sends a heartbeat over each link, with the roster where the peer lacks its current version. */
-  private void sendHeartbeats(long now) {
+  /**
+   * Returns a heartbeat for each linked entry, with the roster where the peer lacks its current
+   * version.
+   */
+  private List<Heartbeat> heartbeats(EntryFacts own, long now) {
     directRoster = directRoster.next(roster.heardDirectly(now));
-    EntryFacts own = self.facts();
     Frame withoutRoster = HeartbeatMessages.frame(own, directRoster, true, now);
     List<Link> openLinks = openLinks();
     boolean isRosterNeeded = openLinks.stream().anyMatch(link -> !hasCurrentRoster(link));
     Frame withRoster =
         isRosterNeeded ? HeartbeatMessages.frame(own, directRoster, false, now) : withoutRoster;
-    for (Link link : openLinks) {
-      PeerState state = links.get(link);
-      if (link.offer(hasCurrentRoster(link) ? withoutRoster : withRoster)) {
-        state.sentRosterVersion = directRoster.version();
-      }
+    return openLinks.stream()
+        .map(
+            link ->
+                new Heartbeat(
+                    link,
+                    hasCurrentRoster(link) ? withoutRoster : withRoster,
+                    directRoster.version()))
+        .toList();
+  }
+
+  private void send(Heartbeat heartbeat) {
+    if (heartbeat.link().offer(heartbeat.frame())) {
+      onSent(heartbeat);
     }
   }
 
+  private synchronized void onSent(Heartbeat heartbeat) {
+    Optional.ofNullable(links.get(heartbeat.link()))
+        .ifPresent(state -> state.sentRosterVersion = heartbeat.rosterVersion());
+  }
+
   private boolean hasCurrentRoster(Link link) {
     return links.get(link).sentRosterVersion == directRoster.version();
   }
 
-  private void connect(String host, long now) {
-    ConnectState attempt = connectStates.computeIfAbsent(host, any -> new ConnectState());
-    if (attempt.isInProgress || now < attempt.nextAttemptAt) {
-      return;
-    }
-    attempt.isInProgress = true;
+  private boolean mayConnect(String host, long now) {
+    ConnectState state = connectStates.computeIfAbsent(host, any -> new ConnectState());
+    return !state.isInProgress && now >= state.nextAttemptAt;
+  }
+
+  private void connect(String host) {
     transport
         .connect(host, self.linkPort(), this)
-        .whenComplete((link, failure) -> onConnected(attempt, host, link));
+        .whenComplete((link, failure) -> onConnected(host, link));
   }
 
-  private synchronized void onConnected(ConnectState attempt, String host, Link link) {
+  private synchronized void onConnected(String host, Link link) {
     long now = MonotonicClock.millis();
+    ConnectState attempt = connectStates.get(host);
     attempt.isInProgress = false;
     attempt.nextAttemptAt =
         now + (now < mayLeadFrom ? SETTLING_CONNECT_RETRY_MILLIS : CONNECT_RETRY_MILLIS);
--- a/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/records/RecordFollower.java
@@ -4,6 +4,7 @@
 import dev.ibishub.core.entries.LogPosition;
 import dev.ibishub.core.entries.ReadSchedule;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.ThreadConfinement;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,8 +20,9 @@
 
 /**
  * A local copy of the newest record of each key of one topic, kept up to date from the platform's
- * store and from other entries. Thread-safe; the listener for changes is called under the lock, in
- * the order of the records.
+ * store and from other entries. Not thread-safe: all methods are called on the entry's event loop,
+ * and the log's reads complete on it. The listener for changes is called in the order of the
+ * records before anything else is done with them.
  *
  * <p>Calls to the store are charged for, so the entries share them: an entry that reads a batch
  * broadcasts it, and a follower reads by itself only if its copy has not been confirmed for its
@@ -67,6 +69,7 @@
   private final BiPredicate<KeyedRecord, KeyedRecord> isRenewal;
   private final Predicate<PassedTurn> passTurn;
   private final RecordCopy copy;
+  private final ThreadConfinement confinement = new ThreadConfinement();
   private long latestEpoch = LogPosition.UNSTATED_EPOCH;
   private long lastRead;
   private boolean isReadingSnapshot;
@@ -161,22 +164,26 @@
   }
 
   /** Whether any batch has been applied, from the store or another entry. */
-  public synchronized boolean isKnown() {
+  public boolean isKnown() {
+    confinement.check();
     return copy.isKnown();
   }
 
   /** Returns the time since the local copy was last confirmed, milliseconds. */
-  public synchronized long ageMillis(long now) {
+  public long ageMillis(long now) {
+    confinement.check();
     return now - schedule.confirmedAt();
   }
 
   /** Returns a snapshot for an entry that has just started; empty if nothing is known yet. */
-  public synchronized Optional<RecordBatch> snapshot() {
+  public Optional<RecordBatch> snapshot() {
+    confinement.check();
     return copy.isKnown() ? Optional.of(copy.snapshot()) : Optional.empty();
   }
 
   /** Returns a number that rises whenever a record of {@link #snapshot} is replaced. */
-  public synchronized long changes() {
+  public long changes() {
+    confinement.check();
     return copy.changes();
   }
 
@@ -188,10 +195,9 @@
    * @param entries number of entries, including this one
    */
   public void tick(long now, int turn, int entries) {
-    synchronized (this) {
-      this.turn = turn;
-      this.entries = entries;
-    }
+    confinement.check();
+    this.turn = turn;
+    this.entries = entries;
     actIfDue(now);
   }
 
@@ -199,26 +205,20 @@
    * Returns when the next read is due, by the monotonic clock in milliseconds; in the past while
    * one is open.
    */
-  public synchronized long dueAt() {
+  public long dueAt() {
+    confinement.check();
     return schedule.dueAt(turn, entries);
   }
 
   /** Takes a turn that another entry passed to this one: reads, or passes it on in its turn. */
   public void onTurnReceived(PassedTurn passed, long now) {
-    ReadSchedule.Decision decision;
-    synchronized (this) {
-      tried = passed.tried();
-      decision = schedule.onTurnReceived(now, passed.waitMillis());
-    }
-    act(decision);
+    confinement.check();
+    tried = passed.tried();
+    act(schedule.onTurnReceived(now, passed.waitMillis()));
   }
 
   private void actIfDue(long now) {
-    ReadSchedule.Decision decision;
-    synchronized (this) {
-      decision = schedule.next(now, turn, entries);
-    }
-    act(decision);
+    act(schedule.next(now, turn, entries));
   }
 
   private void act(ReadSchedule.Decision decision) {
@@ -230,17 +230,12 @@
   }
 
   private void read(long waitMillis) {
-    boolean needsSnapshot;
-    long from;
-    long number;
-    synchronized (this) {
-      needsSnapshot = !copy.isKnown() || historyLost || isCopyOfEarlierEpoch();
-      endWhenAsked = copy.end();
-      from = copy.end().offset();
-      isReadingSnapshot = needsSnapshot;
-      lastRead++;
-      number = lastRead;
-    }
+    boolean needsSnapshot = !copy.isKnown() || historyLost || isCopyOfEarlierEpoch();
+    endWhenAsked = copy.end();
+    long from = copy.end().offset();
+    isReadingSnapshot = needsSnapshot;
+    lastRead++;
+    long number = lastRead;
     if (needsSnapshot) {
       ListedRecords.read(log, options.topic())
           .whenComplete((listed, failure) -> onListed(number, listed, failure));
@@ -280,9 +275,8 @@
    * @param now current time of the monotonic clock, milliseconds
    */
   public void onEpoch(long epoch, boolean isOwnCall, long now) {
-    synchronized (this) {
-      raiseEpoch(epoch, isOwnCall, now);
-    }
+    confinement.check();
+    raiseEpoch(epoch, isOwnCall, now);
     actIfDue(now);
   }
 
@@ -303,14 +297,8 @@
   }
 
   private void pass(long waitMillis) {
-    PassedTurn passed;
-    synchronized (this) {
-      passed = new PassedTurn(waitMillis, tried);
-    }
-    if (passTurn.test(passed)) {
-      synchronized (this) {
-        schedule.onPassed();
-      }
+    if (passTurn.test(new PassedTurn(waitMillis, tried))) {
+      schedule.onPassed();
     }
   }
 
@@ -323,17 +311,13 @@
    * @return whether the batch was applied and extended the local copy
    */
   public boolean onPeerBatch(RecordBatch batch, String sender, long now) {
-    boolean isExtension;
-    OptionalLong deletionsFrom = OptionalLong.empty();
-    synchronized (this) {
-      boolean isReturn = isReturn(batch);
-      isExtension = takeInFromPeer(batch, sender, now);
-      if (isReturn && turn == 0) {
-        // The sender may have started too recently to know from where to read.
-        deletionsFrom = copy.deletionsFrom();
-      }
+    confinement.check();
+    boolean isReturn = isReturn(batch);
+    boolean isExtension = takeInFromPeer(batch, sender, now);
+    if (isReturn && turn == 0) {
+      // The sender may have started too recently to know from where to read.
+      copy.deletionsFrom().ifPresent(this::readDeletions);
     }
-    deletionsFrom.ifPresent(this::readDeletions);
     return isExtension;
   }
 
@@ -375,22 +359,21 @@
    *     at once
    */
   private void onReadDone(long number, RecordBatch batch, Throwable failure, boolean isTorn) {
+    confinement.check();
+    if (number != lastRead) {
+      return;
+    }
     long now = options.clock().getAsLong();
     Optional<RecordBatch> toBroadcast = Optional.empty();
     OptionalLong deletionsFrom = OptionalLong.empty();
-    synchronized (this) {
-      if (number != lastRead) {
-        return;
-      }
-      if (failure != null) {
-        onFailure(failure, now);
-      } else {
-        boolean isReturn = isReturn(batch);
-        toBroadcast = takeIn(batch, now);
-        deletionsFrom = isReturn ? copy.deletionsFrom() : deletionsFrom;
-        if (isTorn && toBroadcast.isPresent()) {
-          schedule.onCopyIncomplete(now);
-        }
+    if (failure != null) {
+      onFailure(failure, now);
+    } else {
+      boolean isReturn = isReturn(batch);
+      toBroadcast = takeIn(batch, now);
+      deletionsFrom = isReturn ? copy.deletionsFrom() : deletionsFrom;
+      if (isTorn && toBroadcast.isPresent()) {
+        schedule.onCopyIncomplete(now);
       }
     }
     toBroadcast.ifPresent(onRead);
@@ -421,16 +404,13 @@
   }
 
   private void onDeletionsRead(RecordBatch range) {
-    Optional<RecordBatch> deletions;
-    boolean isPartial;
-    synchronized (this) {
-      deletions = copy.deletions(range);
-      deletions.ifPresent(batch -> applyBatch(batch, options.clock().getAsLong()));
-      isPartial =
-          !range.records().isEmpty()
-              && range.epoch() == copy.end().epoch()
-              && range.end().isBefore(copy.end());
-    }
+    confinement.check();
+    Optional<RecordBatch> deletions = copy.deletions(range);
+    deletions.ifPresent(batch -> applyBatch(batch, options.clock().getAsLong()));
+    boolean isPartial =
+        !range.records().isEmpty()
+            && range.epoch() == copy.end().epoch()
+            && range.end().isBefore(copy.end());
     deletions.ifPresent(onRead);
     if (isPartial) {
       readDeletions(range.end().offset());
--- a/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/membership/PeerMeshTest.java
@@ -20,6 +20,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,6 +30,16 @@
   private static final String OWN = "127.0.2.2";
   private static final String OTHER = "127.0.2.1";
   private static final long STEP_MILLIS = 100;
+  private static final PeerMesh.Listener IGNORING_LISTENER =
+      new PeerMesh.Listener(
+          frame -> {},
+          (progress, sender) -> false,
+          (crashes, sender) -> {},
+          (digest, sender) -> {},
+          limits -> false,
+          loads -> {},
+          turn -> {},
+          epoch -> false);
 
   private final WireTransport transport =
       WireTransport.create(new Identity("entry-2", "entry", "z", 1), Optional.empty());
@@ -43,15 +56,7 @@
         new PeerMesh.Self(name, host, port, host + ":1", startedAt, () -> true, () -> false),
         transport,
         List::of,
-        new PeerMesh.Listener(
-            frame -> {},
-            (progress, sender) -> false,
-            (crashes, sender) -> {},
-            (digest, sender) -> {},
-            limits -> false,
-            loads -> {},
-            turn -> {},
-            epoch -> false));
+        IGNORING_LISTENER);
   }
 
   private static int freePort() {
@@ -228,4 +233,35 @@
 
     assertThat((Frame) channel.readOutbound()).isEqualTo(frame);
   }
+
+  // Guards against two threads that wait for each other: one in the mesh, which asks whether the
+  // entry is ready, and one that holds what that depends on and adds a host to the mesh.
+  @Test
+  void entryIsAskedForItsStateOutsideOfLock() {
+    AtomicReference<PeerMesh> asked = new AtomicReference<>();
+    AtomicInteger questions = new AtomicInteger();
+    AtomicInteger questionsUnderLock = new AtomicInteger();
+    BooleanSupplier isReady =
+        () -> {
+          questions.incrementAndGet();
+          questionsUnderLock.addAndGet(Thread.holdsLock(asked.get()) ? 1 : 0);
+          return true;
+        };
+    asked.set(
+        new PeerMesh(
+            new PeerMesh.Self("entry-2", OWN, freePort(), OWN + ":1", 1, isReady, isReady),
+            transport,
+            List::of,
+            IGNORING_LISTENER));
+    PeerMesh mesh = asked.get();
+    hear(mesh, link(new EmbeddedChannel()), OTHER);
+    mesh.tick(now);
+    mesh.callerAddresses(now);
+    mesh.stayingHosts(now);
+    mesh.isAmongFirst(1, now);
+    mesh.leads(now);
+
+    assertThat(questions.get()).isGreaterThanOrEqualTo(6);
+    assertThat(questionsUnderLock).hasValue(0);
+  }
 }
--- a/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/records/RecordFollowerTest.java
@@ -252,4 +252,19 @@
 
     assertThat(outages).containsExactly(10_000L, 10_000L, 10_000L, 1_000L);
   }
+
+  // Guards against two threads that wait for each other: one that applies records and tells a
+  // listener with a lock of its own, and one that asks the follower with that lock.
+  @Test
+  void listenerIsToldOutsideOfLock() {
+    List<Boolean> toldUnderLock = new ArrayList<>();
+    RecordFollower[] told = new RecordFollower[1];
+    told[0] =
+        new RecordFollower(
+            OPTIONS, log, change -> toldUnderLock.add(Thread.holdsLock(told[0])), batch -> {});
+    log.put("a", "1");
+    told[0].tick(MonotonicClock.millis() + 10_000, 0, 42);
+
+    assertThat(toldUnderLock).containsExactly(false);
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/StoreTopics.java
+++ b/node/src/main/java/dev/ibishub/node/StoreTopics.java
@@ -26,12 +26,11 @@
 import dev.ibishub.wire.generated.ReadTurn;
 import dev.ibishub.wire.generated.RecordProgress;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -39,8 +38,9 @@
 import java.util.function.Supplier;
 
 /**
- * The topics of the platform's store that an entry follows: configuration, targets and entries.
- * Thread-safe.
+ * The topics of the platform's store that an entry follows: configuration, targets and entries. Not
+ * thread-safe: all methods are called on the entry's event loop, and calls to the store complete on
+ * it.
  */
 final class StoreTopics {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -78,8 +78,8 @@
   private final RecordFollower operatorFollower;
   private final RecordFollower targetFollower;
   private final List<RecordFollower> followers;
-  private final Map<String, CachedSnapshot> snapshots = new ConcurrentHashMap<>();
-  private final AtomicLong epoch = new AtomicLong(LogPosition.UNSTATED_EPOCH);
+  private final Map<String, CachedSnapshot> snapshots = new HashMap<>();
+  private long epoch = LogPosition.UNSTATED_EPOCH;
 
   /**
    * Callbacks for what is read from the store.
@@ -206,7 +206,7 @@
 
   /** Returns the highest known epoch of the store's log. */
   long epoch() {
-    return epoch.get();
+    return epoch;
   }
 
   /**
@@ -235,7 +235,9 @@
   }
 
   private boolean raiseEpoch(long other) {
-    return epoch.getAndAccumulate(other, Math::max) < other;
+    boolean isHigher = other > epoch;
+    epoch = Math.max(epoch, other);
+    return isHigher;
   }
 
   private static ReadTurn message(FollowerOptions options, PassedTurn turn) {
@@ -253,8 +255,9 @@
 
   /**
    * Whether the configuration and the evacuations have been received, from the store or another
-   * entry. They come in one batch, during which this method waits, so requests that are accepted
-   * only once it returns true are never sent to a zone whose evacuation is about to be applied.
+   * entry. They come in one batch, which is applied as a whole before the event loop calls anything
+   * else, so requests that are accepted only once this returns true are never sent to a zone whose
+   * evacuation is about to be applied.
    */
   boolean areOperatorRecordsKnown() {
     return operatorFollower.isKnown();
--- a/node/src/test/java/dev/ibishub/node/StoreReturnTest.java
+++ b/node/src/test/java/dev/ibishub/node/StoreReturnTest.java
@@ -109,13 +109,17 @@
     return members.stream().allMatch(member -> member.version() == version);
   }
 
+  private void tick() {
+    long now = MonotonicClock.millis();
+    IntStream.range(0, ENTRIES)
+        .forEach(number -> members.get(number).topics.tick(now, number, ENTRIES));
+  }
+
   /** Runs the entries until a version is in force at all of them. */
   private void awaitVersion(long version) throws InterruptedException {
     long deadline = MonotonicClock.millis() + TEST_TIMEOUT_MILLIS;
     while (!isInForceEverywhere(version) && MonotonicClock.millis() < deadline) {
-      long now = MonotonicClock.millis();
-      IntStream.range(0, ENTRIES)
-          .forEach(number -> members.get(number).topics.tick(now, number, ENTRIES));
+      group.next().submit(this::tick).syncUninterruptibly();
       Thread.sleep(TICK_MILLIS);
     }
     assertThat(members).extracting(Member::version).containsOnly(version);
