Tell listeners of the configuration outside of locks, and time out on own threads

What operators and callers would see: an operator who takes a verdict slowly kept all calls of that process waiting that were to time out; an entry that never learns of a configuration again, with a listener that has a lock of its own.

Cause: verdicts, orders and fencing tokens timed out on the one thread that CompletableFuture has for that, and what follows, as writing an answer to an operator, ran there. ConfigurationFollower told listeners under one of its two locks and took the other there; listeners for evacuations it told under that.

A verdict still comes after the listeners were told of its revision.

--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
@@ -8,6 +8,7 @@
 import dev.ibishub.core.SnapshotSchedule;
 import dev.ibishub.outbound.AppendOnlyLog;
 import dev.ibishub.outbound.LogPage;
+import dev.ibishub.runtime.SerialExecutor;
 import dev.ibishub.settings.ConfigurationDocument;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
@@ -30,7 +31,8 @@
 /**
  * Follower of the configuration, which learns its revisions from the log and from peers and
  * provides the configuration in force at one site. It starts no threads: it runs on those of the
- * common pool, of the log's futures and of its callers. Thread-safe.
+ * common pool, of the log's futures and of its callers. Thread-safe; listeners are told in the
+ * order of revisions, one at a time, while no lock is held.
  *
  * <p>Example:
  *
@@ -64,9 +66,19 @@
   private volatile boolean closed;
   private volatile long firstRetainedOffset;
   private final AtomicInteger failures = new AtomicInteger();
-  private final Object listenerLock = new Object();
+  private final SerialExecutor notifications = new SerialExecutor(Runnable::run);
+  private Optional<InForce> newest = Optional.empty();
+
+  /** Used by the notifications alone. */
   private long notifiedRevision = -1;
 
+  /**
+   * What listeners are to be told.
+   *
+   * @param configuration empty if this release cannot parse it
+   */
+  private record InForce(Set<String> evacuatedZones, Optional<Configuration> configuration) {}
+
   private record Waiter(Supplier<Boolean> condition, CompletableFuture<Void> done) {}
 
   /**
@@ -220,12 +232,13 @@
    * must not block.
    */
   public void addListener(Consumer<Configuration> listener) {
-    synchronized (listenerLock) {
-      listeners.add(listener);
-      if (notifiedRevision >= 0) {
-        listener.accept(current);
-      }
-    }
+    notifications.execute(
+        () -> {
+          listeners.add(listener);
+          if (notifiedRevision >= 0) {
+            listener.accept(current);
+          }
+        });
   }
 
   /**
@@ -268,7 +281,7 @@
   CompletableFuture<Void> whenDecided(String recordId) {
     CompletableFuture<Void> done = new CompletableFuture<>();
     waiters.add(new Waiter(() -> event(recordId).isPresent(), done));
-    completeWaiters();
+    notifications.execute(this::notifyListeners);
     return done;
   }
 
@@ -356,38 +369,38 @@
       long before = reader.state().revision();
       change.run();
       if (reader.state().revision() > before || (!wasKnown && reader.isKnown())) {
-        updateEvacuatedZones();
-        mergedConfiguration().ifPresent(configuration -> current = configuration);
+        newest =
+            Optional.of(
+                new InForce(EvacuatedZonesPart.zones(reader.state()), mergedConfiguration()));
       }
     }
-    notifyListeners();
-    completeWaiters();
+    notifications.execute(this::notifyListeners);
   }
 
   /**
-   * Tells the listeners which zones are evacuated. To be called before the configuration of the
-   * same revision is current: a request that is admitted by it must not go to an evacuated zone.
+   * Tells the listeners of the newest revision, and then those who wait for a verdict that it
+   * shows. The zones come before the configuration of the same revision is current: a request that
+   * is admitted by it must not go to an evacuated zone.
    */
-  private void updateEvacuatedZones() {
-    Set<String> zones = EvacuatedZonesPart.zones(reader.state());
-    if (!zones.equals(evacuatedZones)) {
-      evacuatedZones = zones;
-      evacuationListeners.forEach(listener -> listener.accept(zones));
+  private void notifyListeners() {
+    Optional<InForce> inForce;
+    synchronized (lock) {
+      inForce = newest;
     }
+    inForce.map(InForce::evacuatedZones).ifPresent(this::updateEvacuatedZones);
+    inForce.flatMap(InForce::configuration).ifPresent(configuration -> current = configuration);
+    Configuration now = current;
+    if (isKnown() && now.revision() > notifiedRevision) {
+      notifiedRevision = now.revision();
+      listeners.forEach(listener -> listener.accept(now));
+    }
+    completeWaiters();
   }
 
-  /**
-   * Notifies the listeners of a new revision. Updates from the log and from peers arrive on several
-   * threads; without the lock a listener could receive an older revision after a newer one and keep
-   * using it.
-   */
-  private void notifyListeners() {
-    synchronized (listenerLock) {
-      Configuration now = current;
-      if (isKnown() && now.revision() > notifiedRevision) {
-        notifiedRevision = now.revision();
-        listeners.forEach(listener -> listener.accept(now));
-      }
+  private void updateEvacuatedZones(Set<String> zones) {
+    if (!zones.equals(evacuatedZones)) {
+      evacuatedZones = zones;
+      evacuationListeners.forEach(listener -> listener.accept(zones));
     }
   }
 
--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationPublisher.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationPublisher.java
@@ -6,6 +6,7 @@
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
 import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.ConfigurationDocument;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
@@ -14,7 +15,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /**
@@ -28,16 +28,19 @@
   private final ConfigurationFollower follower;
   private final InstantSource clock;
   private final Duration verdictTimeout;
+  private final Timeouts timeouts;
 
   private ConfigurationPublisher(
       AppendOnlyLog log,
       ConfigurationFollower follower,
       InstantSource clock,
-      Duration verdictTimeout) {
+      Duration verdictTimeout,
+      Timeouts timeouts) {
     this.log = log;
     this.follower = follower;
     this.clock = clock;
     this.verdictTimeout = verdictTimeout;
+    this.timeouts = timeouts;
   }
 
   /**
@@ -48,13 +51,15 @@
    * @param clock the clock for the timestamps of changes
    * @param verdictTimeout how long to wait for the verdict on an appended change before it is
    *     reported as undecided
+   * @param timeouts end that wait
    */
   public static ConfigurationPublisher create(
       AppendOnlyLog log,
       ConfigurationFollower follower,
       InstantSource clock,
-      Duration verdictTimeout) {
-    return new ConfigurationPublisher(log, follower, clock, verdictTimeout);
+      Duration verdictTimeout,
+      Timeouts timeouts) {
+    return new ConfigurationPublisher(log, follower, clock, verdictTimeout, timeouts);
   }
 
   /**
@@ -144,9 +149,8 @@
               "the log takes no records now; nothing was changed",
               clock.instant().plusSeconds(5)));
     }
-    return follower
-        .whenDecided(change.recordId())
-        .orTimeout(verdictTimeout.toMillis(), TimeUnit.MILLISECONDS)
+    return timeouts
+        .fail(follower.whenDecided(change.recordId()), verdictTimeout.toMillis())
         .handle(
             (ignored, timeout) -> {
               if (timeout instanceof TimeoutException) {
--- a/administration/src/test/java/dev/ibishub/administration/ConfigurationPublisherTest.java
+++ b/administration/src/test/java/dev/ibishub/administration/ConfigurationPublisherTest.java
@@ -8,12 +8,17 @@
 import dev.ibishub.core.ConfigurationEvent;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.SettingsException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -29,6 +34,8 @@
   private static final String SITES =
       "{\"sites\": [{\"name\": \"tbilisi\", \"zones\": [\"vake\"]}]}";
 
+  private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
+  private final ExecutorService threads = Executors.newCachedThreadPool();
   private final FakeLog log = new FakeLog();
   private final ConfigurationFollower firstFollower = startFollower();
   private final ConfigurationFollower secondFollower = startFollower();
@@ -47,11 +54,14 @@
   void close() {
     firstFollower.close();
     secondFollower.close();
+    timers.shutdownNow();
+    threads.shutdownNow();
   }
 
   private ConfigurationPublisher publisher(
       ConfigurationFollower follower, Duration verdictTimeout) {
-    return ConfigurationPublisher.create(log, follower, () -> NOW, verdictTimeout);
+    return ConfigurationPublisher.create(
+        log, follower, () -> NOW, verdictTimeout, Timeouts.on(timers, threads));
   }
 
   private static ResultException failure(CompletableFuture<?> future) {
@@ -238,4 +248,93 @@
     assertThat(newFollower.current()).isEqualTo(firstFollower.current());
     newFollower.close();
   }
+
+  // Guards against an operator who reads slowly and keeps the calls of all others from their end:
+  // what follows one timeout ran on the thread of all timeouts.
+  @Test
+  void operatorThatBlocksKeepsNoOtherCallWaiting() throws InterruptedException {
+    log.setReadable(false);
+    CountDownLatch released = new CountDownLatch(1);
+    CountDownLatch blocks = new CountDownLatch(1);
+    ConfigurationPublisher publisher = publisher(firstFollower, SHORT_TIMEOUT);
+    publisher
+        .publish("", SITES, 0, "nino")
+        .whenComplete(
+            (result, failure) -> {
+              blocks.countDown();
+              await(released);
+            });
+    await(blocks);
+
+    try {
+      assertThat(publisher.publish("", SITES, 0, "arun"))
+          .failsWithin(TEST_TIMEOUT)
+          .withThrowableThat()
+          .havingCause()
+          .isInstanceOf(ResultException.class);
+    } finally {
+      released.countDown();
+    }
+  }
+
+  // Guards against a follower that stands still for good: a listener waits for a lock whose holder
+  // adds a listener.
+  @Test
+  void holderOfLockThatListenerTakesMayAddListener() {
+    CountDownLatch isTold = new CountDownLatch(1);
+    Object lock = new Object();
+    secondFollower.addListener(configuration -> onRevisionOne(configuration, isTold, lock));
+
+    assertThat(
+            withLockWhileTold(lock, isTold, () -> secondFollower.addListener(configuration -> {})))
+        .succeedsWithin(TEST_TIMEOUT);
+  }
+
+  // Guards against the same where the listener is that for evacuations.
+  @Test
+  void holderOfLockThatEvacuationListenerTakesMayAskFollower() {
+    CountDownLatch isTold = new CountDownLatch(1);
+    Object lock = new Object();
+    secondFollower.addEvacuationListener(zones -> tell(isTold, lock));
+
+    assertThat(withLockWhileTold(lock, isTold, secondFollower::isKnown))
+        .succeedsWithin(TEST_TIMEOUT);
+  }
+
+  private static void onRevisionOne(Configuration configuration, CountDownLatch told, Object lock) {
+    if (configuration.revision() == 1) {
+      tell(told, lock);
+    }
+  }
+
+  private static void tell(CountDownLatch isTold, Object lock) {
+    isTold.countDown();
+    synchronized (lock) {
+      isTold.countDown();
+    }
+  }
+
+  /** Evacuates a zone, and calls while a listener waits for a lock that the caller holds. */
+  private CompletableFuture<Void> withLockWhileTold(
+      Object lock, CountDownLatch isTold, Runnable call) {
+    return CompletableFuture.runAsync(
+        () -> {
+          synchronized (lock) {
+            ConfigurationPublisher publisher = publisher(firstFollower, LONG_TIMEOUT);
+            publisher.publish(
+                EvacuatedZonesPart.SITE, EvacuatedZonesPart.text(List.of("vake")), 0, "nino");
+            await(isTold);
+            call.run();
+          }
+        },
+        threads);
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/administration/src/test/java/dev/ibishub/administration/ZoneEvacuationsTest.java
+++ b/administration/src/test/java/dev/ibishub/administration/ZoneEvacuationsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.core.ResultCode;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.OperatorSettings;
 import dev.ibishub.settings.OperatorSettings.Role;
 import java.time.Duration;
@@ -12,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,6 +25,7 @@
   private final FakeLog log = new FakeLog();
   private final FakeLog auditLog = new FakeLog();
   private final List<String> heardBySecond = new CopyOnWriteArrayList<>();
+  private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
   private final ConfigurationFollower firstFollower = startFollower(new CopyOnWriteArrayList<>());
   private final ConfigurationFollower secondFollower = startFollower(heardBySecond);
   private final OperatorApi first = api(firstFollower);
@@ -42,7 +46,8 @@
   private OperatorApi api(ConfigurationFollower follower) {
     return OperatorApi.create(
         follower,
-        ConfigurationPublisher.create(log, follower, () -> Instant.EPOCH, Duration.ofMinutes(1)),
+        ConfigurationPublisher.create(
+            log, follower, () -> Instant.EPOCH, Duration.ofMinutes(1), Timeouts.on(timers)),
         AuditTrail.on(auditLog),
         (target, order, operator) -> CompletableFuture.completedFuture(null),
         () -> "{}",
@@ -53,6 +58,7 @@
   void close() {
     firstFollower.close();
     secondFollower.close();
+    timers.shutdownNow();
   }
 
   private static OperatorAnswer call(OperatorApi api, String method, String path, String body) {
--- a/agent/src/main/java/dev/ibishub/agent/Agent.java
+++ b/agent/src/main/java/dev/ibishub/agent/Agent.java
@@ -22,6 +22,7 @@
 import dev.ibishub.outbound.WeightStore;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonitoringEndpoints;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.AgentSettings;
 import dev.ibishub.settings.AgentSettings.Kind;
 import dev.ibishub.wire.Identity;
@@ -72,6 +73,7 @@
   private final InstantSource clock = InstantSource.system();
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
   private final ExecutorService httpThreads = Executors.newCachedThreadPool();
+  private final Timeouts timeouts = Timeouts.on(timers, httpThreads);
   private final AgentMetrics metrics = new AgentMetrics();
   private final Identity identity;
   private final WireTransport transport;
@@ -242,7 +244,7 @@
                 present,
                 weights,
                 order -> new WeightReservation(order.getModel(), RESERVED_MODEL_BYTES),
-                () -> FencingTokens.highest(log, settings.site(), clock),
+                () -> FencingTokens.highest(log, settings.site(), clock, timeouts),
                 SETTLING_TIME,
                 clock));
   }
--- a/agent/src/main/java/dev/ibishub/agent/FencingTokens.java
+++ b/agent/src/main/java/dev/ibishub/agent/FencingTokens.java
@@ -4,9 +4,9 @@
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
 import dev.ibishub.outbound.AppendOnlyLog;
+import dev.ibishub.runtime.Timeouts;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Looks up the highest fencing token of engine orders after a restart. Used behind ibishub's own
@@ -15,24 +15,26 @@
  * has no memory of them.
  */
 final class FencingTokens {
-  private static final long TIMEOUT_SECONDS = 5;
+  private static final long TIMEOUT_MILLIS = 5_000;
 
   private FencingTokens() {}
 
   /**
    * Reads the configuration revision in force from the log.
    *
+   * @param timeouts end the wait for it
    * @return the revision; fails with {@code LOG_UNAVAILABLE} when the log does not deliver it in
    *     time, in which case no order may be accepted
    */
-  static CompletableFuture<Long> highest(AppendOnlyLog log, String site, InstantSource clock) {
+  static CompletableFuture<Long> highest(
+      AppendOnlyLog log, String site, InstantSource clock, Timeouts timeouts) {
     ConfigurationFollower follower =
         ConfigurationFollower.create(log, site, ConfigurationFollower.Options.defaults());
     CompletableFuture<Long> revision = new CompletableFuture<>();
     follower.addListener(configuration -> revision.complete(configuration.revision()));
     follower.start();
-    return revision
-        .orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+    return timeouts
+        .fail(revision, TIMEOUT_MILLIS)
         .exceptionallyCompose(
             timeout ->
                 CompletableFuture.failedFuture(
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -24,6 +24,7 @@
 import dev.ibishub.outbound.VirtualMachineList;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.runtime.MonitoringEndpoints;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.settings.EntrySettings;
 import dev.ibishub.wire.Identity;
 import dev.ibishub.wire.TlsContexts;
@@ -80,6 +81,7 @@
   private final InstantSource clock = InstantSource.system();
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
   private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Timeouts timeouts = Timeouts.on(timers, threads);
   private final EntryMetrics metrics = new EntryMetrics();
   private final Router router =
       Router.create(RouterOptions.defaults().withPrefixSavingSeconds(PREFIX_SAVING_SECONDS));
@@ -108,7 +110,8 @@
     this.configuration =
         ConfigurationFollower.create(
             log, settings.site(), ConfigurationFollower.Options.defaults());
-    this.publisher = ConfigurationPublisher.create(log, configuration, clock, PUBLISH_TIMEOUT);
+    this.publisher =
+        ConfigurationPublisher.create(log, configuration, clock, PUBLISH_TIMEOUT, timeouts);
     this.server = new EndpointServer(settings, incarnation, clock, threads, metrics.registry());
     server.listen();
     DeferredLinkListener listener = new DeferredLinkListener();
@@ -192,7 +195,7 @@
 
   private void addEndpoints(OrderSender orders) {
     newCallerEndpoints().addTo(server);
-    new OperatorEndpoints(settings, operatorApi(orders)).addTo(server);
+    new OperatorEndpoints(settings, operatorApi(orders), threads).addTo(server);
     MonitoringEndpoints.addTo(server::add, metrics.registry(), this::isReady);
     metrics.gauge("ibishub_entry_in_flight", "Requests in flight.", server::inFlight);
     metrics.gauge("ibishub_entry_targets", "Links to agents.", targets::linkCount);
@@ -261,7 +264,7 @@
   }
 
   private OrderSender newOrderSender() {
-    OrderSender orders = new OrderSender(targets::link, clock);
+    OrderSender orders = new OrderSender(targets::link, clock, timeouts);
     targets.addFrameListener(
         frame -> {
           if (frame.hasOrderReply()) {
--- a/entry/src/main/java/dev/ibishub/entry/OperatorEndpoints.java
+++ b/entry/src/main/java/dev/ibishub/entry/OperatorEndpoints.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.stream.Collectors;
 
 /** HTTP endpoints of the operator API. Thread-safe. */
@@ -24,11 +25,18 @@
   private final EntrySettings settings;
   private final OperatorTokens tokens;
   private final OperatorApi api;
+  private final Executor threads;
 
-  OperatorEndpoints(EntrySettings settings, OperatorApi api) {
+  /**
+   * Creates the endpoints.
+   *
+   * @param threads write the answers; an operator that reads slowly blocks one
+   */
+  OperatorEndpoints(EntrySettings settings, OperatorApi api, Executor threads) {
     this.settings = settings;
     this.tokens = OperatorTokens.of(settings.operators());
     this.api = api;
+    this.threads = threads;
   }
 
   void addTo(EndpointServer callerServer) {
@@ -51,7 +59,7 @@
             query(exchange),
             new String(body, StandardCharsets.UTF_8),
             operator);
-    api.answer(call).thenAccept(answer -> send(exchange, answer));
+    api.answer(call).thenAcceptAsync(answer -> send(exchange, answer), threads);
   }
 
   private static void send(HttpExchange exchange, OperatorAnswer answer) {
--- a/entry/src/main/java/dev/ibishub/entry/OrderSender.java
+++ b/entry/src/main/java/dev/ibishub/entry/OrderSender.java
@@ -3,6 +3,7 @@
 import dev.ibishub.administration.TargetOrders;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.OrderReply;
@@ -14,21 +15,22 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** Sends orders to agents and matches replies to them. Thread-safe. */
 final class OrderSender implements TargetOrders {
-  private static final long REPLY_TIMEOUT_SECONDS = 5;
+  private static final long REPLY_TIMEOUT_MILLIS = 5_000;
 
   private final Function<String, Optional<Link>> links;
   private final InstantSource clock;
+  private final Timeouts timeouts;
   private final Map<String, CompletableFuture<OrderReply>> pendingReplies =
       new ConcurrentHashMap<>();
 
-  OrderSender(Function<String, Optional<Link>> links, InstantSource clock) {
+  OrderSender(Function<String, Optional<Link>> links, InstantSource clock, Timeouts timeouts) {
     this.links = links;
     this.clock = clock;
+    this.timeouts = timeouts;
   }
 
   @Override
@@ -61,8 +63,8 @@
       reply.completeExceptionally(
           new ResultException(ResultCode.TARGET_UNREACHABLE, "no link to " + target));
     }
-    return reply
-        .completeOnTimeout(undecidedReply(order), REPLY_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+    return timeouts
+        .complete(reply, undecidedReply(order), REPLY_TIMEOUT_MILLIS)
         .whenComplete((done, failure) -> pendingReplies.remove(order.getOrderId()))
         .thenApply(this::requireAccepted);
   }
--- a/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
+++ b/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
@@ -10,6 +10,7 @@
 import dev.ibishub.core.ResultException;
 import dev.ibishub.core.RouteQuery;
 import dev.ibishub.runtime.LogEvent;
+import dev.ibishub.runtime.SerialExecutor;
 import dev.ibishub.wire.AnswerEnds;
 import dev.ibishub.wire.ClaimHolderHeader;
 import dev.ibishub.wire.Link;
--- a/entry/src/test/java/dev/ibishub/entry/PlacementReconcilerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/PlacementReconcilerTest.java
@@ -4,6 +4,7 @@
 
 import dev.ibishub.core.Configuration;
 import dev.ibishub.core.Configuration.Placement;
+import dev.ibishub.runtime.Timeouts;
 import dev.ibishub.wire.Link;
 import dev.ibishub.wire.generated.Frame;
 import dev.ibishub.wire.generated.OrderReply;
@@ -23,7 +24,8 @@
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final Link link = Link.over(channel, new Link.Peer("model-1", "agent", "vake", 1));
   private final OrderSender orders =
-      new OrderSender(target -> Optional.of(link), () -> Instant.EPOCH);
+      new OrderSender(
+          target -> Optional.of(link), () -> Instant.EPOCH, Timeouts.on(channel.eventLoop()));
   private List<String> served = List.of("dictionary");
   private boolean ownsTarget = true;
   private final PlacementReconciler reconciler =
