Fail the tests on locks that are taken in a cycle

A check that waits for luck doesn't find the next one.

Ways: CycleDetectingLockFactory needs explicit locks, and all of ours are monitors; GuardedBy tells what a lock protects and nothing of its order. An agent that records monitors needs no change of the code it watches, and sees orders that no run let meet.

Change: module lock-order, an agent on ASM. All tests load it, and so do the processes of a Deployment, but for those of DepartedCallerFleet, which measures how fast they react, and of the crowds, which measure their heap. Synchronized methods and blocks count, and functions that run within a ConcurrentHashMap; test classes don't. bin/verify puts the pairs of all processes together, by class, and fails on a cycle.

--- a/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
+++ b/node/src/test/java/dev/ibishub/node/DepartedCallerFleet.java
@@ -143,7 +143,7 @@
       throws IOException, InterruptedException {
     random = new Random(seed);
     isGroup = random.nextBoolean();
-    deployment = new Deployment(Deployment.Programs.onThisClassPath(NodeMain.class.getName()));
+    deployment = new Deployment(Deployment.Programs.withoutAgents(NodeMain.class.getName()));
     deployment.store().setPageRecords(targetCount);
     deployment.publish(1, SERVICE, "key-1");
     entries = IntStream.rangeClosed(1, entryCount).mapToObj(number -> "entry-" + number).toList();
