Log a call that the owner of confined state rejects

What is thrown where something follows from a future is dropped with it, so a call on a wrong thread would have been lost in silence. It is logged as thread.rejected, with the thread, the owner and the stack.

Measured: ThreadConfinementTest failed with the check for the log line and no log line; green now.

--- a/runtime/src/main/java/dev/ibishub/runtime/ThreadConfinement.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/ThreadConfinement.java
@@ -1,10 +1,13 @@
 package dev.ibishub.runtime;
 
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Checks that all methods of an object without locks are called by one thread: the first one that
- * calls any of them. Thread-safe.
+ * calls any of them. A call of another one is logged besides, as what follows from a future drops
+ * what is thrown. Thread-safe.
  *
  * <pre>{@code
  * private final ThreadConfinement confinement = new ThreadConfinement();
@@ -16,6 +19,8 @@
  * }</pre>
  */
 public final class ThreadConfinement {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final AtomicReference<Thread> owner = new AtomicReference<>();
 
   /**
@@ -31,8 +36,15 @@
       known = owner.get();
     }
     if (known != current) {
-      throw new IllegalStateException(
-          "called by " + current.getName() + ", but owned by " + known.getName());
+      IllegalStateException failure =
+          new IllegalStateException(
+              "called by " + current.getName() + ", but owned by " + known.getName());
+      logger.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(failure).log(
+          "%s",
+          LogEvent.of("thread.rejected")
+              .with("thread", current.getName())
+              .with("owner", known.getName()));
+      throw failure;
     }
   }
 }
