Take no answer of a plain service without a status

Behind ibishub's own interface. What callers would see: a response with status 0, as an agent ends the answer of a plain service without its status, or with one that no final response has (MIXED).

Cause: the status comes over the link and was written as it came.

Change: such an answer counts as damaged, so a call that may be repeated goes to another target, and the outcome of any other is unknown.

That an agent sends such an end is not seen; its HTTP client refuses such statuses (HttpPlainServiceTest, green before).

--- a/entry/src/main/java/dev/ibishub/entry/AnswerWriter.java
+++ b/entry/src/main/java/dev/ibishub/entry/AnswerWriter.java
@@ -30,6 +30,11 @@
   /** Voids all chunks written so far because another attempt begins. */
   void restart() throws IOException;
 
+  /** Whether an answer with all of its chunks may end so; otherwise it counts as damaged. */
+  default boolean isWholeWith(AnswerEnd end) {
+    return true;
+  }
+
   /** Ends an answer that is complete. */
   void succeed(AnswerEnd end) throws IOException;
 
--- a/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
+++ b/entry/src/main/java/dev/ibishub/entry/RequestRunner.java
@@ -264,8 +264,10 @@
     assembler.end(ofAttempt, end).ifPresent(code -> completeAttempt(link, code));
   }
 
-  private void completeAttempt(Link link, ResultCode code) {
+  private void completeAttempt(Link link, ResultCode assembled) {
     AnswerEnd last = lastEnd;
+    boolean isDamaged = assembled == ResultCode.OK && !answer.isWholeWith(last);
+    ResultCode code = isDamaged ? ResultCode.ANSWER_CORRUPTED : assembled;
     tracker.ended(attemptId, link.peer().incarnation(), code);
     boolean failed = code.outcome() == Outcome.OUTCOME_UNKNOWN && code != ResultCode.CANCELLED;
     closeAttempt(failed);
@@ -279,7 +281,9 @@
       return;
     }
     excludedTargets.add(target);
-    retry(last == null ? "the answer came damaged" : last.detail(), isExemptFromRetryBudget(code));
+    retry(
+        last == null || isDamaged ? "the answer came damaged" : last.detail(),
+        isExemptFromRetryBudget(code));
   }
 
   /**
--- a/entry/src/main/java/dev/ibishub/entry/ServiceAnswerWriter.java
+++ b/entry/src/main/java/dev/ibishub/entry/ServiceAnswerWriter.java
@@ -15,6 +15,9 @@
   private static final Set<String> STRIPPED_HEADERS =
       Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade");
 
+  private static final int LOWEST_FINAL_STATUS = 200;
+  private static final int HIGHEST_STATUS = 599;
+
   private final HttpExchange exchange;
   private final String requestId;
   private final InstantSource clock;
@@ -36,6 +39,16 @@
     body.reset();
   }
 
+  /** Whether a caller can get a final response with a status. */
+  static boolean isFinalStatus(int status) {
+    return status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+  }
+
+  @Override
+  public boolean isWholeWith(AnswerEnd end) {
+    return isFinalStatus(end.httpStatus());
+  }
+
   @Override
   public void succeed(AnswerEnd end) throws IOException {
     end.headers().entrySet().stream()
--- a/entry/src/test/java/dev/ibishub/entry/FakeAgent.java
+++ b/entry/src/test/java/dev/ibishub/entry/FakeAgent.java
@@ -63,6 +63,11 @@
 
   /** Ends an attempt with the checksum of its complete answer. */
   void finish(String attemptId, long chunks, String answer) {
+    finish(attemptId, chunks, answer, 0);
+  }
+
+  /** Ends an attempt with the checksum of its complete answer and the status of a service. */
+  void finish(String attemptId, long chunks, String answer, int httpStatus) {
     CRC32C checksum = new CRC32C();
     checksum.update(answer.getBytes(StandardCharsets.UTF_8));
     end(
@@ -70,6 +75,7 @@
             .setAttemptId(attemptId)
             .setChunkCount(chunks)
             .setChecksum((int) checksum.getValue())
+            .setHttpStatus(httpStatus)
             .build());
   }
 
--- a/entry/src/test/java/dev/ibishub/entry/RecordingAnswerWriter.java
+++ b/entry/src/test/java/dev/ibishub/entry/RecordingAnswerWriter.java
@@ -12,6 +12,7 @@
 final class RecordingAnswerWriter implements AnswerWriter {
   final List<String> events = new ArrayList<>();
   boolean disconnected;
+  boolean isOfService;
   ResultCode failedWith;
 
   @Override
@@ -32,6 +33,11 @@
     events.add("restart");
   }
 
+  @Override
+  public boolean isWholeWith(AnswerEnd end) {
+    return !isOfService || ServiceAnswerWriter.isFinalStatus(end.httpStatus());
+  }
+
   @Override
   public void succeed(AnswerEnd end) {
     events.add("end " + end.chunkCount());
--- a/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/RequestRunnerTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RequestRunnerTest {
   private static final Instant START = Instant.parse("2026-03-01T22:00:00Z");
@@ -70,6 +71,35 @@
     assertThat(finished).containsExactly(ResultCode.OK);
   }
 
+  // Guards against a caller of a plain service who gets a status that is none: the end of an answer
+  // may come from an agent that states none.
+  @ParameterizedTest
+  @ValueSource(ints = {0, 99, 100, 199, 600, -1})
+  void answerOfServiceWithoutStatusIsNotPassedOn(int status) {
+    answer.isOfService = true;
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.MAY_BE_REPEATED, false);
+    FakeAgent second = agent("model-2", 1);
+    first.finish(first.latestAttemptId(), 0, "", status);
+    second.finish(second.latestAttemptId(), 0, "", 404);
+
+    assertThat(answer.events).containsExactly("end 0");
+    assertThat(finished).containsExactly(ResultCode.OK);
+  }
+
+  // Guards against a call that may not be repeated, and is, after an answer without a status.
+  @Test
+  void callThatMayNotBeRepeatedIsNotAfterAnswerWithoutStatus() {
+    answer.isOfService = true;
+    FakeAgent first = agent("model-1", 1);
+    start(Repeatability.ONCE, false);
+    FakeAgent second = agent("model-2", 1);
+    first.finish(first.latestAttemptId(), 0, "", 0);
+
+    assertThat(second.dispatches()).isEmpty();
+    assertThat(answer.failedWith).isEqualTo(ResultCode.ANSWER_CORRUPTED);
+  }
+
   /**
    * Guards against a lost request when its target dies before the first token: the request moves to
    * another target, and a late chunk of the lost attempt is dropped.
