--- a/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/BrokenResponseTest.java
@@ -376,6 +376,9 @@
         Framing.LENGTH.response(SECOND, WHOLE_BYTES),
         Framing.CHUNKED.response(SECOND, WHOLE_BYTES),
         "HTTP/1.1 304 Same\r\nsigned: 1\r\n\r\n",
+        STREAM.replace("200", "000") + "id: 1\ndata: x\n\nid: 2\ndata: z\n\n",
+        STREAM.replace("200", "099") + "id: 1\ndata: x\n\nid: 2\ndata: z\n\n",
+        STREAM.replace("200", "600") + "id: 1\ndata: x\n\nid: 2\ndata: z\n\n",
         STREAM + "data: y\n\n",
         STREAM + "data: y\n\nid: 2\ndata: z\n\n",
         STREAM + "id: 3\ndata: z\n\n");
--- a/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/front/OddResponseTest.java
@@ -27,6 +27,9 @@
   private static final String WHOLE =
       "HTTP/1.1 200 OK\r\nsigned: 1\r\nContent-Length: 4\r\n\r\ngood";
 
+  private static final String SIGNED_BODY =
+      "\r\nsigned: 1\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\ngood";
+
   private final TestEntry entry =
       TestEntry.start(
           CallerLimits.DEFAULTS,
@@ -140,7 +143,44 @@
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 odd"
       })
   void statusLineOfAnotherFormIsNoResponse(String statusLine) throws IOException {
-    assertIsNoResponse(statusLine + "\r\nsigned: 1\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\ngood");
+    assertIsNoResponse(statusLine + SIGNED_BODY);
+  }
+
+  // Guards against a status that is none from the target that a request was sent to besides a
+  // silent one, and against giving the silent one up for it.
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.1 000 odd", "HTTP/1.1 099 odd", "HTTP/1.1 600 odd"})
+  void statusOfAnotherFormOfHedgedRequestIsNoResponse(String statusLine) throws IOException {
+    try (RawCaller caller = call("/any/x");
+        Socket silent = RawTarget.accept(target);
+        ServerSocket other = entry.announce("u")) {
+      try (Socket hedged = RawTarget.accept(other)) {
+        write(hedged, statusLine + SIGNED_BODY);
+        awaitClose(hedged);
+      }
+      write(silent, WHOLE);
+
+      assertThat(caller.await().head()).startsWith("HTTP/1.1 200 ").doesNotContain("odd");
+      assertThat(caller.await().body()).isEqualTo("good");
+    }
+  }
+
+  // Guards against a status that is none from the target that a request was sent to again after its
+  // first connection was cut.
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.1 000 odd", "HTTP/1.1 099 odd", "HTTP/1.1 600 odd"})
+  void statusOfAnotherFormAfterCutIsNoResponse(String statusLine) throws IOException {
+    try (RawCaller caller = call("/any/x");
+        ServerSocket other = entry.announce("u")) {
+      RawTarget.accept(target).close();
+      try (Socket second = RawTarget.accept(other)) {
+        write(second, statusLine + SIGNED_BODY);
+        awaitClose(second);
+      }
+
+      assertThat(caller.await().head()).startsWith("HTTP/1.1 502 ").doesNotContain("odd");
+      assertThat(caller.await().body()).doesNotContain("good");
+    }
   }
 
   // Guards against a target's whole response that is refused by too strict a check.
@@ -189,9 +229,8 @@
         "X-odd: a\r\n b"
       })
   void lineOfAnotherFormInHeadIsNoResponse(String line) throws IOException {
-    String rest = "\r\nsigned: 1\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\ngood";
-    assertIsNoResponse("HTTP/1.1 200 OK\r\n" + line + rest);
-    assertIsNoResponse("HTTP/1.1 200 OK\r\nA: b\r\n" + line + rest);
+    assertIsNoResponse("HTTP/1.1 200 OK\r\n" + line + SIGNED_BODY);
+    assertIsNoResponse("HTTP/1.1 200 OK\r\nA: b\r\n" + line + SIGNED_BODY);
     assertIsNoResponse("HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n" + WHOLE);
   }
 
--- a/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/http/PooledHttpClientTest.java
@@ -177,6 +177,26 @@
     }
   }
 
+  // Guards against a status that is none on a connection whose earlier responses had one.
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600"})
+  void statusOfAnotherFormOnKeptConnectionFailsTheCall(String status) throws Exception {
+    CompletableFuture<HttpReply> first = call();
+    try (Socket connection = system.accept()) {
+      readHead(connection);
+      write(connection, OK + "good");
+      assertThat(first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).status()).isEqualTo(200);
+
+      CompletableFuture<HttpReply> second = call();
+      readHead(connection);
+      write(connection, OK.replace("200", status) + "next");
+
+      assertThatThrownBy(() -> second.get(CLOSE_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(ExecutionException.class)
+          .hasCauseInstanceOf(IOException.class);
+    }
+  }
+
   // Guards against a second response to one call that is taken for that of the next.
   @Test
   void responseToNoCallClosesTheConnection() throws Exception {
