Keep the mesh's note of unneeded links apart from closing them

No change of what it does: a method that returned a time changed it as well.

Measured: PeerMeshTest (9), CrashExchangeTest (17), ConfigurationPublisherTest (13), ZoneEvacuationsTest (6) green.

--- a/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
+++ b/administration/src/main/java/dev/ibishub/administration/ConfigurationFollower.java
@@ -67,6 +67,8 @@
   private volatile long firstRetainedOffset;
   private final AtomicInteger failures = new AtomicInteger();
   private final SerialExecutor notifications = new SerialExecutor(Runnable::run);
+
+  /** Guarded by the lock; empty until a configuration is known. */
   private Optional<InForce> newest = Optional.empty();
 
   /** Used by the notifications alone. */
--- a/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/membership/PeerMesh.java
@@ -393,9 +393,7 @@
 
   @Override
   public void onOpen(Link link) {
-    // The next regular heartbeat may be 200 ms away; until it arrives the peer knows nothing of
-    // this
-    // entry.
+    // The next regular heartbeat may be 200 ms away; until then the peer knows nothing of this one.
     send(firstHeartbeat(link, self.facts(), MonotonicClock.millis()));
     snapshots.get().forEach(link::offer);
   }
@@ -484,6 +482,7 @@
     others.stream().filter(link -> !link.equals(from)).forEach(link -> link.offer(frame));
   }
 
+  /** Returns the connects and closes that are due. */
   private List<Runnable> checkLinks(long now) {
     hostsToLink = new HashSet<>(roster.hostsToLink(now));
     hostsLinkedByAll = roster.hostsLinkedByAll();
@@ -504,24 +503,18 @@
               connectStates.get(host).isInProgress = true;
               changes.add(() -> connect(host));
             });
-    links.forEach(
-        (link, state) -> {
-          if (unwantedMillis(state, now) >= UNWANTED_LINK_MILLIS) {
-            changes.add(link::close);
-          }
-        });
+    links.values().forEach(state -> updateUnwantedSince(state, now));
+    links.entrySet().stream()
+        .filter(link -> now - link.getValue().unwantedSince >= UNWANTED_LINK_MILLIS)
+        .forEach(link -> changes.add(link.getKey()::close));
     logChanges(now);
     return changes;
   }
 
-  /**
-   * Returns for how long a link that this entry opened is no longer needed, milliseconds. The peer
-   * closes the links that it opened itself.
-   */
-  private long unwantedMillis(PeerState state, long now) {
+  /** Notes since when a link is not needed. The peer closes the links that it opened itself. */
+  private void updateUnwantedSince(PeerState state, long now) {
     boolean isUnwanted = state.isOpenedHere && !hostsToLink.contains(state.host);
     state.unwantedSince = isUnwanted ? Math.min(state.unwantedSince, now) : Long.MAX_VALUE;
-    return isUnwanted ? now - state.unwantedSince : 0;
   }
 
   private void logChanges(long now) {
