--- a/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
+++ b/runtime/src/main/java/dev/ibishub/runtime/EventLoopMonitor.java
@@ -105,33 +105,35 @@
    * @return whether it was logged
    */
   boolean look(long lookDueAt, long now) {
-    return describe(lookDueAt, now)
-        .map(
-            event -> {
-              logger.atWarning().log("%s", event);
-              return true;
-            })
-        .orElse(false);
-  }
-
-  /** Returns what {@link #look} logs; empty if nothing is due to be logged. */
-  Optional<LogEvent> describe(long lookDueAt, long now) {
-    long since = heldSince;
-    if (loop == null || since == NOTHING_DUE || now - since < LATE_MILLIS) {
-      return Optional.empty();
-    }
-    if (since == loggedHeldSince && now < nextLogAt) {
-      return Optional.empty();
+    if (!isLogDue(now)) {
+      return false;
     }
+    long since = heldSince;
     loggedHeldSince = since;
     nextLogAt = now + (now - since);
+    logger.atWarning().log("%s", describe(since, lookDueAt, now));
+    return true;
+  }
+
+  private boolean isLogDue(long now) {
+    long since = heldSince;
+    boolean isHeld = loop != null && since != NOTHING_DUE && now - since >= LATE_MILLIS;
+    return isHeld && (since != loggedHeldSince || now >= nextLogAt);
+  }
+
+  /**
+   * Returns the event of a held loop.
+   *
+   * @param since when its task was due or began, on the monotonic clock, milliseconds
+   */
+  LogEvent describe(long since, long lookDueAt, long now) {
     LogEvent event =
         LogEvent.of("loop.held")
             .with("late_ms", now - since)
             .with("watcher_late_ms", Math.max(0, now - lookDueAt))
             .with("state", loop.getState())
             .with("at", frames(loop.getStackTrace()));
-    return Optional.of(loop.getState() == Thread.State.RUNNABLE ? event : withLockOwner(event));
+    return loop.getState() == Thread.State.RUNNABLE ? event : withLockOwner(event);
   }
 
   /** Adds what the loop waits for, which thread holds that, and whether that one waits for it. */
--- a/runtime/src/test/java/dev/ibishub/runtime/EventLoopMonitorTest.java
+++ b/runtime/src/test/java/dev/ibishub/runtime/EventLoopMonitorTest.java
@@ -99,7 +99,7 @@
       Thread.sleep(1);
     }
 
-    assertThat(monitor.describe(LATE, LATE).orElseThrow().toString())
+    assertThat(monitor.describe(DUE, LATE, LATE).toString())
         .contains(" state=BLOCKED ", " held_by=other ", " deadlock=true")
         .contains(" waits_for=java.lang.Object@")
         .containsPattern("holder_at=\"[^\"]*lockInOrder");
