Wait for what follows a timeout, not for the timeout's future, in TimeoutsTest

Cause: the test waited with CompletableFuture.get for the future that times out, and a thread that waits there runs dependents itself once the value is set (waitingGet calls postComplete). So which thread ran thenApply was a race between the timers' thread and the test's.

The test now waits for the dependent future, whose completion runs nothing but itself, and checks the same two things: the thread and the value.

--- a/runtime/src/test/java/dev/ibishub/runtime/TimeoutsTest.java
+++ b/runtime/src/test/java/dev/ibishub/runtime/TimeoutsTest.java
@@ -33,8 +33,10 @@
     CompletableFuture<Thread> completedBy = future.thenApply(value -> Thread.currentThread());
     Timeouts.on(timers).complete(future, "none", 1);
 
-    assertThat(future.get(10, TimeUnit.SECONDS)).isEqualTo("none");
-    assertThat(completedBy.get()).isEqualTo(timers.submit(Thread::currentThread).get());
+    // A thread that waits for the future itself may run what follows from it.
+    Thread completing = completedBy.get(10, TimeUnit.SECONDS);
+    assertThat(completing).isEqualTo(timers.submit(Thread::currentThread).get());
+    assertThat(future).isCompletedWithValue("none");
   }
 
   // Guards against a caller that is slow to take one answer and stops all other timeouts.
