Tell the response to an order from those to other calls

What callers saw: nothing; a rule was broken unseen.

Cause: PooledHttpClient gave whatever response came next on a kept connection to the call in flight. An engine may answer a call twice, the second time where the response to the next call is expected. An agent reads a report several times a second on the connection that its orders use, so a second 200 to a report counted as that to an order. Together with an order that is carried out seconds later, a rank counted as armed that wasn't, or a step as held.

The log had no line for it; response.of_other_call is one now.

Change: each call to an engine carries an id (X-Attempt-Id), which the engine may repeat. A response with another call's id is dropped, and so is one without an id on a connection whose engine has repeated ids. An order requires its id: it is sent on a connection that has shown that ids are repeated, or on a new one, on which the first response can be no other call's. Reads keep their connection, also where ids aren't repeated: a connection for each would take the engine's slots, and a report that is one interval old is as good as a late one.

Why it holds: an order counts as done only by a response that carries its id or by the first one on its connection. spec/rank-switch.pml has second responses to earlier orders and to reports now: it holds (654,159 states), and the mutation ANY_RESPONSE, the rule before, breaks both of its assertions.

--- a/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
@@ -1,5 +1,7 @@
 package dev.ibishub.gateway.http;
 
+import com.google.common.flogger.FluentLogger;
+import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.wire.NumericAddresses;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -32,11 +34,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -44,15 +50,22 @@
  * HTTP client for external systems, with pooled connections. A request is never sent twice. A
  * connection on which a response did not arrive in time is closed, as it may be dead. Thread-safe.
  *
+ * <p>A system may answer a call twice, the second time where the response to a later call is
+ * expected. A response with the id of another call is dropped, and so is one without an id on a
+ * connection on which the system has repeated ids. A call that requires its id is sent on such a
+ * connection, or on a new one, on which the first response can be no other call's.
+ *
  * <pre>{@code
  * client.call(HttpCall.get("10.1.0.4", 8080, "/health", 500)).thenAccept(reply -> ...);
  * }</pre>
  */
 public final class PooledHttpClient {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final int CONNECT_TIMEOUT_MILLIS = 800;
 
-  /** Maximum number of interim responses (1xx) before the final one. */
-  static final int MAXIMUM_INTERIM_RESPONSES = 16;
+  /** Maximum number of interim responses (1xx), or of those to other calls, before a call's own. */
+  static final int MAXIMUM_OTHER_RESPONSES = 16;
 
   /** Most idle connections that are kept to one address. */
   private static final int MAXIMUM_IDLE_CONNECTIONS = 4;
@@ -66,6 +79,10 @@
   private static final AttributeKey<Boolean> IS_IDLE =
       AttributeKey.valueOf(PooledHttpClient.class, "idle");
 
+  /** Whether the system has repeated the ids of all calls on the connection that had one. */
+  private static final AttributeKey<Boolean> REPEATS_IDS =
+      AttributeKey.valueOf(PooledHttpClient.class, "repeatsIds");
+
   private final EventLoopGroup group;
   private final IdleHandler idleHandler = new IdleHandler();
   private final Map<InetSocketAddress, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
@@ -91,7 +108,7 @@
     } catch (IllegalArgumentException e) {
       return CompletableFuture.failedFuture(e);
     }
-    Channel pooled = pollIdle(address);
+    Channel pooled = pollIdle(address, call);
     if (pooled != null) {
       send(pooled, address, call, reply);
       return reply;
@@ -129,24 +146,37 @@
     return reply;
   }
 
-  private Channel pollIdle(InetSocketAddress address) {
+  private Channel pollIdle(InetSocketAddress address, HttpCall call) {
     Deque<IdleConnection> connections = idle.get(address);
     if (connections == null) {
       return null;
     }
     synchronized (connections) {
-      while (!connections.isEmpty()) {
-        IdleConnection newest = connections.pollLast();
-        if (newest.channel().isActive() && System.nanoTime() < newest.reusableUntilNanos()) {
-          newest.channel().attr(IS_IDLE).set(false);
-          return newest.channel();
+      Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+      while (newestFirst.hasNext()) {
+        IdleConnection connection = newestFirst.next();
+        Channel channel = connection.channel();
+        if (!channel.isActive() || System.nanoTime() >= connection.reusableUntilNanos()) {
+          newestFirst.remove();
+          channel.close();
+        } else if (!requiresId(call) || repeatsIds(channel)) {
+          newestFirst.remove();
+          channel.attr(IS_IDLE).set(false);
+          return channel;
         }
-        newest.channel().close();
       }
     }
     return null;
   }
 
+  private static boolean requiresId(HttpCall call) {
+    return call.identification().map(HttpCall.Identification::isRequired).orElse(false);
+  }
+
+  private static boolean repeatsIds(Channel channel) {
+    return channel.hasAttr(REPEATS_IDS) && channel.attr(REPEATS_IDS).get();
+  }
+
   /** Closes a connection that gets a response while no call is in flight. */
   @Sharable
   private static final class IdleHandler extends ChannelInboundHandlerAdapter {
@@ -193,11 +223,14 @@
                 call.timeoutMillis(),
                 TimeUnit.MILLISECONDS);
     reply.whenComplete((value, failure) -> timer.cancel(false));
+    String id = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
     HttpObjectAggregator aggregator = new HttpObjectAggregator(call.maximumReplyBytes());
-    channel.pipeline().addLast(aggregator, new ResponseHandler(address, reply, aggregator));
+    channel
+        .pipeline()
+        .addLast(aggregator, new ResponseHandler(address, call, id, reply, aggregator));
     channel.config().setAutoRead(true);
     channel
-        .writeAndFlush(request(call))
+        .writeAndFlush(request(call, id))
         .addListener(
             written -> {
               if (!written.isSuccess()) {
@@ -207,7 +240,7 @@
             });
   }
 
-  private static FullHttpRequest request(HttpCall call) {
+  private static FullHttpRequest request(HttpCall call, String id) {
     FullHttpRequest request =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -218,24 +251,31 @@
         .headers()
         .set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(call.host(), call.port()));
     call.headers().forEach((name, value) -> request.headers().set(name, value));
+    call.identification().ifPresent(identified -> request.headers().set(identified.header(), id));
     if (call.body().length > 0 || call.method().equals("POST")) {
       request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
     }
     return request;
   }
 
-  /** Completes the call in flight with the response that arrives. */
+  /** Completes the call in flight with its response. */
   private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final InetSocketAddress address;
+    private final HttpCall call;
+    private final String id;
     private final CompletableFuture<HttpReply> reply;
     private final HttpObjectAggregator aggregator;
-    private int interimResponses;
+    private int otherResponses;
 
     ResponseHandler(
         InetSocketAddress address,
+        HttpCall call,
+        String id,
         CompletableFuture<HttpReply> reply,
         HttpObjectAggregator aggregator) {
       this.address = address;
+      this.call = call;
+      this.id = id;
       this.reply = reply;
       this.aggregator = aggregator;
     }
@@ -243,7 +283,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-        onInterimResponse(context);
+        onOtherResponse(context);
         return;
       }
       if (!response.decoderResult().isSuccess()) {
@@ -252,13 +292,29 @@
             new IOException("no HTTP response of " + address, response.decoderResult().cause()));
         return;
       }
+      if (!answersCall(context.channel(), response)) {
+        logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+            "%s",
+            LogEvent.of("response.of_other_call")
+                .with("address", address)
+                .with("path", call.pathAndQuery())
+                .with("status", response.status().code()));
+        onOtherResponse(context);
+        return;
+      }
+      complete(context, response);
+    }
+
+    private void complete(ChannelHandlerContext context, FullHttpResponse response) {
       Map<String, String> headers = new HashMap<>();
       response
           .headers()
           .forEach(
               header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
       byte[] body = ByteBufUtil.getBytes(response.content());
-      boolean isReusable = HttpUtil.isKeepAlive(response);
+      boolean isIdentified = isIdentified(response);
+      boolean isReusable = HttpUtil.isKeepAlive(response) && (isIdentified || !requiresId(call));
+      context.channel().attr(REPEATS_IDS).set(isIdentified);
       context.pipeline().remove(aggregator);
       context.pipeline().remove(this);
       if (isReusable) {
@@ -269,14 +325,30 @@
       reply.complete(new HttpReply(response.status().code(), headers, body));
     }
 
-    private void onInterimResponse(ChannelHandlerContext context) {
-      interimResponses++;
-      if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+    /** Whether a response is that to the call in flight. */
+    private boolean answersCall(Channel channel, FullHttpResponse response) {
+      return call.identification().isEmpty()
+          || isIdentified(response)
+          || (ids(response).isEmpty() && !repeatsIds(channel));
+    }
+
+    private boolean isIdentified(FullHttpResponse response) {
+      return ids(response).equals(List.of(id));
+    }
+
+    private List<String> ids(FullHttpResponse response) {
+      return call.identification()
+          .map(identified -> response.headers().getAll(identified.header()))
+          .orElse(List.of());
+    }
+
+    private void onOtherResponse(ChannelHandlerContext context) {
+      otherResponses++;
+      if (otherResponses > MAXIMUM_OTHER_RESPONSES) {
         fail(
             context,
             new IOException(
-                "%s sent %d interim responses and no final one"
-                    .formatted(address, interimResponses)));
+                "%s sent %d responses and none to the call".formatted(address, otherResponses)));
       }
     }
 
--- a/spec/rank-switch.pml
+++ b/spec/rank-switch.pml
@@ -8,12 +8,15 @@
  * time, while leader 1 may be running, paused or gone), one map, armed for step 2 of 3. The map
  * may stop being prepared at rank 1 before it is armed there. A command that was sent may be
  * executed at any later time, any number of times and in any order; a response may be lost. A
- * command with a lower token than the rank has seen is refused.
+ * response to an earlier command, or to a report that the agent has read, may arrive a second time
+ * where that to a command is expected, also if that command is never executed; it carries the id of
+ * its own call. A command with a lower token than the rank has seen is refused.
  *
  * mutation: ARM_WITHOUT_HOLD leader 1 arms although no rank holds the step
  * mutation: RELEASE_EARLY leader 1 releases as soon as one rank has confirmed
  * mutation: NO_FENCE ranks accept commands with lower tokens
  * mutation: NO_OWN_HOLD leader 2 disarms although no rank holds the step under its token
+ * mutation: ANY_RESPONSE the agent takes the next response on a connection for that to its command
  * mutation: NEW_TOKEN leader 1 releases with a higher token than that of its successor
  */
 #define RANKS 2
@@ -29,6 +32,7 @@
 #define RELEASE 3
 #define KINDS 4
 #define AT(l, k, r) ((((l) * KINDS) + (k)) * RANKS + (r))
+#define REPORT (2 * KINDS * RANKS) /* the call with which an agent reads a report */
 
 byte step = 0;
 bool armed[RANKS];
@@ -57,6 +61,32 @@
   fi
 }
 
+/* A response to one call arrives where that to a command is expected. */
+inline respond(call, command, content) {
+  if
+#ifdef ANY_RESPONSE
+  :: answer[command] == NONE -> answer[command] = content
+#else
+  :: answer[command] == NONE && call == command -> answer[command] = content
+#endif
+  :: true
+  fi
+}
+
+inline second_response(l, k, r) {
+  atomic {
+    sent[AT(l, k, r)] ->
+    if
+    :: respond(REPORT, AT(l, k, r), DONE)
+    :: k != HOLD && sent[AT(l, HOLD, r)] ->
+       if
+       :: respond(AT(l, HOLD, r), AT(l, k, r), DONE)
+       :: respond(AT(l, HOLD, r), AT(l, k, r), REFUSED)
+       fi
+    fi
+  }
+}
+
 inline carry_out(l, k, r) {
   atomic {
     sent[AT(l, k, r)] ->
@@ -80,10 +110,7 @@
        :: k == RELEASE -> held[r] = false; result = DONE
        fi
     fi;
-    if
-    :: answer[AT(l, k, r)] == NONE -> answer[AT(l, k, r)] = result
-    :: true
-    fi;
+    respond(AT(l, k, r), AT(l, k, r), result);
     t = 0; result = NONE
   }
 }
@@ -109,6 +136,22 @@
   :: carry_out(1, DISARM, 1)
   :: carry_out(1, RELEASE, 0)
   :: carry_out(1, RELEASE, 1)
+  :: second_response(0, HOLD, 0)
+  :: second_response(0, HOLD, 1)
+  :: second_response(0, ARM, 0)
+  :: second_response(0, ARM, 1)
+  :: second_response(0, DISARM, 0)
+  :: second_response(0, DISARM, 1)
+  :: second_response(0, RELEASE, 0)
+  :: second_response(0, RELEASE, 1)
+  :: second_response(1, HOLD, 0)
+  :: second_response(1, HOLD, 1)
+  :: second_response(1, ARM, 0)
+  :: second_response(1, ARM, 1)
+  :: second_response(1, DISARM, 0)
+  :: second_response(1, DISARM, 1)
+  :: second_response(1, RELEASE, 0)
+  :: second_response(1, RELEASE, 1)
   od
 }
 
