Own interface: tell the answer to a call from those to other calls

What callers saw: nothing known. A second answer to a read of an engine's state counted as that to an order, so that a map counted as held, committed or released at a rank, or a model as loaded, that wasn't; to a read of the log, as that to an append; a generation or a load could be another call's.

Change: each call has an Ibishub-Call-Id, which systems repeat. A response with another id isn't read: its connection is closed, and the call ends as unknown, as after a cut. The client can't go on to read the call's own response, as PooledHttpClient does.

Open: a plain service repeats no id. Connection: close needs a JVM option that is read before any class of the client loads: a trial failed all calls of services where another class had loaded it first, and was taken back.

--- a/engines/src/main/java/dev/ibishub/engines/HttpPlainService.java
+++ b/engines/src/main/java/dev/ibishub/engines/HttpPlainService.java
@@ -34,6 +34,7 @@
           "expect",
           "host",
           "http2-settings",
+          "ibishub-call-id",
           "keep-alive",
           "proxy-authenticate",
           "proxy-authorization",
--- a/outbound/src/main/java/dev/ibishub/outbound/OutboundHttp.java
+++ b/outbound/src/main/java/dev/ibishub/outbound/OutboundHttp.java
@@ -15,10 +15,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * HTTP code shared by the clients: a JDK client without automatic retries, and the mapping of
@@ -43,6 +45,12 @@
     System.setProperty("jdk.httpclient.keepalive.timeout", "20");
   }
 
+  /**
+   * Header with the id of a call, which an external system repeats in its response. Without it, the
+   * second response to one call could be taken for that to the next one on the same connection.
+   */
+  public static final String CALL_ID_HEADER = "Ibishub-Call-Id";
+
   private final URI base;
   private final HttpClient client;
 
@@ -91,11 +99,19 @@
         .timeout(left.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : left);
   }
 
-  /** Sends a request once; fails with a {@link ResultException} if no answer arrived. */
+  /**
+   * Sends a request once, with an id of its own; fails with a {@link ResultException} if no answer
+   * arrived, or one to another call.
+   */
   public <T> CompletableFuture<HttpResponse<T>> send(
       HttpRequest request, BodyHandler<T> handler, Failures failures) {
+    String id = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
+    HttpRequest identified =
+        HttpRequest.newBuilder(request, (name, value) -> true)
+            .setHeader(CALL_ID_HEADER, id)
+            .build();
     return client
-        .sendAsync(request, StatusCheck.before(handler))
+        .sendAsync(identified, ResponseCheck.before(id, handler))
         .exceptionallyCompose(
             failure -> CompletableFuture.failedFuture(exceptionOf(request, failure, failures)));
   }
--- a/standins/src/main/java/dev/ibishub/standins/StandInServer.java
+++ b/standins/src/main/java/dev/ibishub/standins/StandInServer.java
@@ -4,11 +4,13 @@
 import com.sun.net.httpserver.HttpServer;
 import dev.ibishub.core.ResultCode;
 import dev.ibishub.core.ResultException;
+import dev.ibishub.outbound.OutboundHttp;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -138,6 +140,8 @@
 
   private static void answer(HttpExchange exchange, StandInReply reply)
       throws IOException, InterruptedException {
+    Optional.ofNullable(exchange.getRequestHeaders().getFirst(OutboundHttp.CALL_ID_HEADER))
+        .ifPresent(id -> exchange.getResponseHeaders().set(OutboundHttp.CALL_ID_HEADER, id));
     reply.headers().forEach(exchange.getResponseHeaders()::set);
     if (reply.writer().isPresent()) {
       exchange.getResponseHeaders().set("Content-Type", "application/x-ndjson");
