Don't check a connection without pause while its caller reads slowly

What callers saw: all requests of an entry slower, and a core taken, while one caller reads a response for longer than the idle timeout.

Cause: the timer that checks a connection's timeouts runs again when the idle time is over, if no request runs. While a response isn't written, the idle timeout isn't applied, so its time lay in the past and the timer ran again at once, on the event loop that all connections share. The same after a rejection, while the connection lingers.

Change: the idle time counts only where the idle timeout is applied. In all other states the timer has its usual intervals.

--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerConnection.java
@@ -408,15 +408,20 @@
       channelContext.close();
       return;
     }
-    if (!isClosing && exchange == null && !isDiscarding && unwritten == 0) {
+    if (mayTimeOut(unwritten)) {
       closeIfTimedOut(now);
     }
     if (channelContext.channel().isOpen()) {
       long interval = isArriving() ? ARRIVING_CHECK_MILLIS : IDLE_CHECK_MILLIS;
-      scheduleCheck(exchange == null ? Math.min(interval, untilIdle(now)) : interval);
+      scheduleCheck(mayTimeOut(unwritten) ? Math.min(interval, untilIdle(now)) : interval);
     }
   }
 
+  /** Whether the caller has to send something. */
+  private boolean mayTimeOut(long unwritten) {
+    return !isClosing && exchange == null && !isDiscarding && unwritten == 0;
+  }
+
   /** Returns how much of the responses the socket has not accepted, bytes. */
   private long unwrittenBytes() {
     return Optional.ofNullable(channelContext.channel().unsafe().outboundBuffer())
--- a/gateway/src/test/java/dev/ibishub/gateway/callers/UnreadResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/UnreadResponseTest.java
@@ -20,6 +20,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,6 +33,9 @@
   /** More than the buffers of both ends of a connection hold. */
   private static final int LARGE_BYTES = 16 << 20;
 
+  /** Checks of a connection within a second, of which an open one needs few. */
+  private static final int MAXIMUM_CHECKS = 20;
+
   private static final long AWAIT_MILLIS = 30_000;
 
   private final EventLoopGroup group =
@@ -39,15 +43,27 @@
   private final CallerMemory memory = new CallerMemory(() -> 8L * LARGE_BYTES);
   private final Queue<String> started = new ConcurrentLinkedQueue<>();
   private final Queue<String> departed = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger timeoutChecks = new AtomicInteger();
   private volatile long stalledMillis = 60_000;
+  private volatile long idleMillis = 60_000;
   private CallerServer server;
 
   @BeforeEach
   void start() {
-    CallerLimits limits = new CallerLimits(16_000, 100_000, 60_000, 60_000);
     CallerResources resources =
-        CallerResources.create(new PrometheusRegistry(), memory, () -> 10, () -> stalledMillis);
-    server = new CallerServer(() -> limits, LargeResponse::new, resources);
+        CallerResources.create(
+            new PrometheusRegistry(),
+            memory,
+            () -> 10,
+            () -> {
+              timeoutChecks.incrementAndGet();
+              return stalledMillis;
+            });
+    server =
+        new CallerServer(
+            () -> new CallerLimits(16_000, 100_000, 60_000, idleMillis),
+            LargeResponse::new,
+            resources);
     server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   }
 
@@ -99,16 +115,25 @@
   private Socket send(String... paths) throws IOException {
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
     for (String path : paths) {
-      caller
-          .getOutputStream()
-          .write(
-              "GET %s HTTP/1.1\r\nHost: h\r\n\r\n"
-                  .formatted(path)
-                  .getBytes(StandardCharsets.US_ASCII));
+      caller.getOutputStream().write(request(path));
     }
     return caller;
   }
 
+  private static byte[] request(String path) {
+    return "GET %s HTTP/1.1\r\nHost: h\r\n\r\n".formatted(path).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /** Reads the body of a response; less of it if the connection ends. */
+  private static byte[] readLarge(Socket caller) throws IOException {
+    StringBuilder head = new StringBuilder();
+    for (int next = 0; next >= 0 && head.indexOf("\r\n\r\n") < 0; ) {
+      next = caller.getInputStream().read();
+      head.append((char) next);
+    }
+    return caller.getInputStream().readNBytes(LARGE_BYTES);
+  }
+
   private static void await(BooleanSupplier condition) throws InterruptedException {
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_MILLIS);
     while (!condition.getAsBoolean() && System.nanoTime() < deadline) {
@@ -159,4 +184,20 @@
       assertThat(caller.getInputStream().readAllBytes().length).isLessThan(LARGE_BYTES);
     }
   }
+
+  // Guards against an event loop that does nothing but check a connection whose caller reads
+  // slowly.
+  @Test
+  void connectionIsCheckedSeldomWhileItsCallerReadsNothing() throws Exception {
+    idleMillis = 100;
+    try (Socket caller = send("/large")) {
+      await(() -> memory.bytes(Kind.RESPONSE) > 0);
+      TimeUnit.MILLISECONDS.sleep(3 * idleMillis);
+      int checksBefore = timeoutChecks.get();
+      TimeUnit.SECONDS.sleep(1);
+
+      assertThat(timeoutChecks.get() - checksBefore).isLessThan(MAXIMUM_CHECKS);
+      assertThat(readLarge(caller)).hasSize(LARGE_BYTES);
+    }
+  }
 }
