Stop an entry only when its responses are written

Cause: a request counted as in flight until its response was handed to the connection. GracefulStop saw none in flight, waited for three times the validity of addresses and closed connections with what they had not written: up to a write buffer of a response that is passed on as it comes, and the whole of one that is held back until it is complete.

Change: ResponseMemory, which holds the memory of each part until the socket has accepted it, counts responses that were handed over whole and all bytes. A stop ends when no request is in flight and none of these is left, or when the grace period leaves no more time; a caller who reads nothing can't hold it longer. entry.leaving and entry.stopped name responses and bytes, the latter as a warning if some are lost, and both are metrics.

The same cause on related paths: - own interface: Entry.drain closes its server on the same count. It waits for written responses, too. - the bound on connections: a connection counted as idle as soon as its response was handed over, so that a new one displaced it within the response (3,932,160 of 16,777,216 bytes arrived). It counts as idle once it has written. - the idle timeout: it ran from the hand-over, so a connection closed just when a slow caller had read its response. It runs from the last byte written. A caller who reads nothing is closed by the timeout for stalled responses, and until then its connection makes no room for others.

--- a/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
+++ b/entry/src/main/java/dev/ibishub/entry/EndpointServer.java
@@ -12,6 +12,7 @@
 import dev.ibishub.gateway.callers.CallerServer;
 import dev.ibishub.gateway.callers.ConnectionMemory;
 import dev.ibishub.gateway.callers.DescriptorShares;
+import dev.ibishub.gateway.callers.UnwrittenResponses;
 import dev.ibishub.gateway.model.CallerLimits;
 import dev.ibishub.runtime.LogEvent;
 import dev.ibishub.settings.EntrySettings;
@@ -152,6 +153,16 @@
     return inFlight.get();
   }
 
+  /** Returns the counts of what connections have not written of responses. */
+  UnwrittenResponses unwritten() {
+    return connections.unwritten();
+  }
+
+  /** Whether a request is in flight, or a response isn't written to its connection. */
+  boolean isBusy() {
+    return inFlight() > 0 || connections.isBusy();
+  }
+
   /**
    * Acquires a slot for a request in flight. Each caller address has a limit of its own, so that a
    * flood from one caller cannot use up the slots of all others.
--- a/entry/src/main/java/dev/ibishub/entry/Entry.java
+++ b/entry/src/main/java/dev/ibishub/entry/Entry.java
@@ -144,8 +144,9 @@
 
   /**
    * Drains and closes this entry, and returns when done. The entry leaves the address list at once,
-   * serves until the last address list that names it has expired, then refuses new requests and
-   * lets those in flight end. All of this takes at most the configured drain time.
+   * serves until the last address list that names it has expired, then refuses new requests, lets
+   * those in flight end and writes their responses. All of this takes at most the configured drain
+   * time.
    */
   public void drain() {
     Instant deadline = clock.instant().plusSeconds(settings.drainSeconds());
@@ -157,7 +158,12 @@
     waitUntil(serveUntil, false);
     refusingRequests = true;
     waitUntil(deadline, true);
-    logger.atInfo().log("%s", LogEvent.of("entry.drained").with("inFlight", server.inFlight()));
+    logger.atInfo().log(
+        "%s",
+        LogEvent.of("entry.drained")
+            .with("inFlight", server.inFlight())
+            .with("unwrittenResponses", server.unwritten().responses())
+            .with("unwrittenBytes", server.unwritten().bytes()));
     close();
   }
 
@@ -170,7 +176,7 @@
   }
 
   private void waitUntil(Instant until, boolean onlyWhileBusy) {
-    while (clock.instant().isBefore(until) && !(onlyWhileBusy && server.inFlight() == 0)) {
+    while (clock.instant().isBefore(until) && !(onlyWhileBusy && !server.isBusy())) {
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_INTERVAL_MILLIS));
     }
   }
--- a/entry/src/test/java/dev/ibishub/entry/EndpointServerTest.java
+++ b/entry/src/test/java/dev/ibishub/entry/EndpointServerTest.java
@@ -184,4 +184,27 @@
       assertThat(readAll(caller).length()).isGreaterThan(LONG_BODY_BYTES);
     }
   }
+
+  // Guards against an entry that ends before it has written a response whose caller reads slowly.
+  @Test
+  void serverIsBusyUntilResponseIsWritten() throws Exception {
+    server.add(
+        "/whole",
+        (exchange, requestId) ->
+            HttpExchanges.send(exchange, 200, "text/plain", new byte[LONG_BODY_BYTES]));
+    try (Socket caller = connect()) {
+      write(caller, "GET /whole HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+      while (server.unwritten().bytes() == 0) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      TimeUnit.MILLISECONDS.sleep(200);
+      assertThat(server.inFlight()).isZero();
+      assertThat(server.isBusy()).isTrue();
+
+      assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LONG_BODY_BYTES);
+      while (server.isBusy()) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+    }
+  }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerConnection.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerConnection.java
@@ -382,13 +382,26 @@
       isClosing = true;
       return;
     }
-    if (pipeline.isEmpty()) {
-      resources.connections().onIdle(channelContext.channel());
+    if (unwrittenBytes() == 0) {
+      becomeIdle();
+    } else {
+      channelContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> becomeIdle());
     }
     startNext();
     continueIfDue();
   }
 
+  /** Lets this connection make room for others, and its idle time begin, if it has no request. */
+  private void becomeIdle() {
+    if (exchange != null || !pipeline.isEmpty()) {
+      return;
+    }
+    resources.connections().onIdle(channelContext.channel());
+    if (!isArriving()) {
+      monitor.restartIdleTime();
+    }
+  }
+
   private void scheduleCheck(long millis) {
     nextCheckAt = MonotonicClock.millis() + millis;
     nextCheck =
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMetrics.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerMetrics.java
@@ -17,7 +17,11 @@
    *
    * @param connections returns the number of callers' connections
    */
-  public CallerMetrics(PrometheusRegistry registry, CallerMemory memory, IntSupplier connections) {
+  public CallerMetrics(
+      PrometheusRegistry registry,
+      CallerMemory memory,
+      IntSupplier connections,
+      UnwrittenResponses unwritten) {
     this(
         Counter.builder()
             .name("ibishub_caller_limits_total")
@@ -44,6 +48,16 @@
         .help("Open connections of callers.")
         .callback(callback -> callback.call(connections.getAsInt()))
         .register(registry);
+    GaugeWithCallback.builder()
+        .name("ibishub_caller_unwritten_responses")
+        .help("Responses that are complete and not yet accepted by the callers' sockets.")
+        .callback(callback -> callback.call(unwritten.responses()))
+        .register(registry);
+    GaugeWithCallback.builder()
+        .name("ibishub_caller_unwritten_bytes")
+        .help("Bytes of responses that the callers' sockets have not accepted yet.")
+        .callback(callback -> callback.call((double) unwritten.bytes()))
+        .register(registry);
   }
 
   private CallerMetrics(Counter events, String port) {
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerResources.java
@@ -13,6 +13,7 @@
  *
  * @param memory the account of the memory that is held for callers
  * @param connections the bound on their connections
+ * @param unwritten counts what their sockets have not accepted of responses
  * @param metrics counts which limits they meet
  * @param stalledMillis returns the time after which a connection is closed whose caller has read
  *     nothing of a response, milliseconds
@@ -20,6 +21,7 @@
 public record CallerResources(
     CallerMemory memory,
     ConnectionBound<Channel> connections,
+    UnwrittenResponses unwritten,
     CallerMetrics metrics,
     LongSupplier stalledMillis) {
   /** Memory that an open connection takes by itself, bytes. */
@@ -42,19 +44,28 @@
                     Math.min(
                         maximumConnections.getAsInt(),
                         memory.connectionLimitBytes() / CONNECTION_BYTES));
+    UnwrittenResponses unwritten = new UnwrittenResponses();
     return new CallerResources(
-        memory, connections, new CallerMetrics(registry, memory, connections::size), stalledMillis);
+        memory,
+        connections,
+        unwritten,
+        new CallerMetrics(registry, memory, connections::size, unwritten),
+        stalledMillis);
   }
 
   /**
-   * Returns resources of another port, which share the memory.
+   * Returns resources of another port, which share the memory and the count of responses.
    *
    * @param port name of the port in the metrics
    * @param maximumConnections returns the most connections of that port
    */
   public CallerResources forPort(String port, IntSupplier maximumConnections) {
     return new CallerResources(
-        memory, new ConnectionBound<>(maximumConnections), metrics.forPort(port), stalledMillis);
+        memory,
+        new ConnectionBound<>(maximumConnections),
+        unwritten,
+        metrics.forPort(port),
+        stalledMillis);
   }
 
   /**
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/CallerServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/CallerServer.java
@@ -101,7 +101,7 @@
         .addLast(monitor)
         .addLast(new StrictRequestDecoder(limits.get(), memory))
         .addLast(new HttpResponseEncoder())
-        .addLast(new ResponseMemory(memory))
+        .addLast(new ResponseMemory(memory, resources.unwritten()))
         .addLast(new CallerConnection(limits, exchanges, monitor, inFlight, resources, memory));
   }
 
@@ -130,12 +130,25 @@
     return (InetSocketAddress) serverChannel.localAddress();
   }
 
-  /** Returns the number of requests in flight. */
+  /** Returns the number of requests in flight, until their response is handed to the connection. */
   public int inFlight() {
     return inFlight.get();
   }
 
-  /** Stops listening and closes all connections, also those with a request in flight. */
+  /** Returns the counts of what connections have not written of responses. */
+  public UnwrittenResponses unwritten() {
+    return resources.unwritten();
+  }
+
+  /** Whether a request is in flight, or a response isn't written to its connection. */
+  public boolean isBusy() {
+    return inFlight() > 0 || unwritten().responses() > 0;
+  }
+
+  /**
+   * Stops listening and closes all connections, also those with a request in flight or with a
+   * response that isn't written.
+   */
   public void close() {
     serverChannel.close().syncUninterruptibly();
     connections.close().awaitUninterruptibly();
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/ResponseMemory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/ResponseMemory.java
@@ -6,35 +6,49 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Channel handler that holds memory for each part of a response until it is written to the socket,
- * or dropped. Runs on the connection's event loop.
+ * or dropped, and counts it until then. Runs on the connection's event loop.
  */
 public final class ResponseMemory extends ChannelOutboundHandlerAdapter {
   /** Memory of the objects of each part that waits to be written, bytes. */
   private static final int OBJECT_BYTES = 512;
 
   private final ConnectionMemory memory;
+  private final UnwrittenResponses unwritten;
 
-  /** Creates a handler that holds the memory of a connection. */
-  public ResponseMemory(ConnectionMemory memory) {
+  /**
+   * Creates a handler that holds the memory of a connection.
+   *
+   * @param unwritten counts the responses of all connections
+   */
+  public ResponseMemory(ConnectionMemory memory, UnwrittenResponses unwritten) {
     this.memory = memory;
+    this.unwritten = unwritten;
   }
 
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     long bytes = bytes(message);
-    memory.hold(Kind.RESPONSE, bytes);
+    long heldBytes = OBJECT_BYTES + bytes;
+    boolean isLastPart = message instanceof LastHttpContent;
+    memory.hold(Kind.RESPONSE, heldBytes);
+    unwritten.onHandedOver(bytes, isLastPart);
     context
         .write(message, promise.unvoid())
-        .addListener(written -> memory.release(Kind.RESPONSE, bytes));
+        .addListener(
+            over -> {
+              memory.release(Kind.RESPONSE, heldBytes);
+              unwritten.onOver(bytes, isLastPart);
+            });
   }
 
   private static long bytes(Object message) {
     long headBytes =
         message instanceof HttpResponse response ? HeadSize.memoryOf(response.headers()) : 0;
     long bodyBytes = message instanceof HttpContent content ? content.content().readableBytes() : 0;
-    return OBJECT_BYTES + headBytes + bodyBytes;
+    return headBytes + bodyBytes;
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/http/PageServer.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PageServer.java
@@ -72,7 +72,8 @@
               protected void initChannel(Channel channel) {
                 resources
                     .admit(channel)
-                    .ifPresentOrElse(memory -> addHandlers(channel, memory, pages), channel::close);
+                    .ifPresentOrElse(
+                        memory -> addHandlers(channel, memory, resources, pages), channel::close);
               }
             })
         .bind(address)
@@ -81,12 +82,15 @@
   }
 
   private static void addHandlers(
-      Channel channel, ConnectionMemory memory, Function<String, Page> pages) {
+      Channel channel,
+      ConnectionMemory memory,
+      CallerResources resources,
+      Function<String, Page> pages) {
     channel
         .pipeline()
         .addLast(new StrictRequestDecoder(CallerLimits.DEFAULTS, memory))
         .addLast(new HttpResponseEncoder())
-        .addLast(new ResponseMemory(memory))
+        .addLast(new ResponseMemory(memory, resources.unwritten()))
         .addLast(new FlowControlHandler())
         .addLast(new PageConnection(pages));
   }
--- a/gateway/src/test/java/dev/ibishub/gateway/callers/UnreadResponseTest.java
+++ b/gateway/src/test/java/dev/ibishub/gateway/callers/UnreadResponseTest.java
@@ -46,6 +46,7 @@
   private final AtomicInteger timeoutChecks = new AtomicInteger();
   private volatile long stalledMillis = 60_000;
   private volatile long idleMillis = 60_000;
+  private volatile int maximumConnections = 10;
   private CallerServer server;
 
   @BeforeEach
@@ -54,7 +55,7 @@
         CallerResources.create(
             new PrometheusRegistry(),
             memory,
-            () -> 10,
+            () -> maximumConnections,
             () -> {
               timeoutChecks.incrementAndGet();
               return stalledMillis;
@@ -200,4 +201,36 @@
       assertThat(readLarge(caller)).hasSize(LARGE_BYTES);
     }
   }
+
+  // Guards against a response that is cut off as its connection makes room for another one.
+  @Test
+  void connectionWithUnwrittenResponseMakesNoRoomForOthers() throws Exception {
+    maximumConnections = 1;
+    try (Socket caller = send("/large")) {
+      await(() -> started.contains("/large") && memory.bytes(Kind.RESPONSE) > 0);
+      try (Socket other = send("/next")) {
+        TimeUnit.MILLISECONDS.sleep(200);
+      }
+
+      assertThat(readLarge(caller)).hasSize(LARGE_BYTES);
+      await(() -> memory.bytes(Kind.RESPONSE) == 0);
+      try (Socket other = send("/large")) {
+        assertThat(readLarge(other)).hasSize(LARGE_BYTES);
+      }
+    }
+  }
+
+  // Guards against a connection that closes as idle just when its caller has read a response.
+  @Test
+  void idleTimeBeginsWhenResponseIsWritten() throws Exception {
+    idleMillis = 2_500;
+    try (Socket caller = send("/large")) {
+      TimeUnit.MILLISECONDS.sleep(idleMillis + 500);
+      assertThat(readLarge(caller)).hasSize(LARGE_BYTES);
+      TimeUnit.MILLISECONDS.sleep(idleMillis / 2);
+
+      caller.getOutputStream().write(request("/large"));
+      assertThat(readLarge(caller)).hasSize(LARGE_BYTES);
+    }
+  }
 }
--- a/node/src/main/java/dev/ibishub/node/GracefulStop.java
+++ b/node/src/main/java/dev/ibishub/node/GracefulStop.java
@@ -7,12 +7,13 @@
 import dev.ibishub.runtime.MonotonicClock;
 import dev.ibishub.settings.NodeSettings;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
 
 /**
  * The graceful stop of an entry. From its beginning, the entry isn't ready and its address is no
  * longer given to callers. It goes on serving, because callers cache addresses, until the cached
- * ones have expired and no request is in flight, or until the grace period is nearly over.
- * Thread-safe.
+ * ones have expired, no request is in flight and all responses are written, or until the grace
+ * period is nearly over. Thread-safe.
  */
 final class GracefulStop implements StopPlan {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -63,24 +64,32 @@
   /** Stops the entry and exits the process; blocks until then. */
   void run(CallerServer server) {
     leavingSince = MonotonicClock.millis();
-    logger.atInfo().log("%s", LogEvent.of("entry.leaving").with("in_flight", server.inFlight()));
+    logger.atInfo().log("%s", event("entry.leaving", server));
     double validSeconds =
         Math.min(settings.addressValiditySeconds(), settings.longestAddressValiditySeconds());
     long servesUntil =
         Math.min(endsAt(), leavingSince + (long) (CACHING_FACTOR * validSeconds * 1_000));
     try {
       while (MonotonicClock.millis() < servesUntil
-          || (server.inFlight() > 0 && MonotonicClock.millis() < endsAt())) {
+          || (server.isBusy() && MonotonicClock.millis() < endsAt())) {
         Thread.sleep(CHECK_INTERVAL_MILLIS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    logger.atInfo().log("%s", LogEvent.of("entry.stopped").with("in_flight", server.inFlight()));
+    logger.at(server.isBusy() ? Level.WARNING : Level.INFO).log(
+        "%s", event("entry.stopped", server));
     server.close();
     System.exit(0);
   }
 
+  private static LogEvent event(String name, CallerServer server) {
+    return LogEvent.of(name)
+        .with("in_flight", server.inFlight())
+        .with("unwritten_responses", server.unwritten().responses())
+        .with("unwritten_bytes", server.unwritten().bytes());
+  }
+
   private long endsAt() {
     return leavingSince + TimeUnit.SECONDS.toMillis(settings.graceSeconds()) - RESERVE_MILLIS;
   }
