--- a/node/src/test/java/dev/ibishub/node/RankTroubleSoakTest.java
+++ b/node/src/test/java/dev/ibishub/node/RankTroubleSoakTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.ibishub.platform.standins.Deployment;
+import dev.ibishub.platform.standins.EngineRelay;
 import dev.ibishub.platform.standins.RankGroup;
 import dev.ibishub.runtime.MonotonicClock;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -13,13 +15,15 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Plays shifts of the demand for experts while agents stand still, the entries run slowly, orders
- * stay unanswered and entries are killed. More: {@code -Dibishub.seed=100 -Dibishub.seeds=50}.
+ * stay unanswered, engines answer calls twice and entries are killed. More: {@code
+ * -Dibishub.seed=100 -Dibishub.seeds=50}.
  */
 @Timeout(value = 300, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 final class RankTroubleSoakTest {
@@ -41,26 +45,46 @@
   /** Part of each slice in which a slowed entry runs. */
   private static final double RUNNING_SHARE = 0.2;
 
+  /** Share of the calls that engines answer twice, in the stages in which they do. */
+  private static final double SECOND_RESPONSE_SHARE = 0.2;
+
+  private static final long SECOND_RESPONSES_MILLIS = 16_000;
+  private static final long MAXIMUM_SECOND_RESPONSES_MILLIS = 60_000;
+
+  /** Orders that get no response each time that the demand has shifted. */
+  private static final int DELAYED_ORDERS = 5;
+
+  private final List<EngineRelay> relays = new ArrayList<>();
+
   static LongStream seeds() {
     long first = Long.getLong("ibishub.seed", 1);
     return LongStream.range(first, first + Long.getLong("ibishub.seeds", 2));
   }
 
+  @AfterEach
+  void closeRelays() throws IOException {
+    for (EngineRelay relay : relays) {
+      relay.close();
+    }
+  }
+
   // Guards against an entry whose event loop stops for good, as an order times out while it ticks,
-  // and against one thread that changes what belongs to another.
+  // against one thread that changes what belongs to another, and against an order that counts as
+  // done by the response to another call.
   @ParameterizedTest
   @MethodSource("seeds")
   void entriesServeAndSwitchMapsAfterTrouble(long seed) throws Exception {
     Random random = new Random(seed);
     try (Deployment deployment =
         new Deployment(Deployment.Programs.onThisClassPath(NodeMain.class.getName()))) {
-      RankGroup group = start(deployment);
+      RankGroup group = start(deployment, seed);
       for (int stage = 0; stage < STAGES; stage++) {
         shiftDemand(random, group);
         disturb(random, deployment);
         assertUndisturbedLogs(seed, deployment);
       }
 
+      relays.forEach(relay -> relay.setSecondResponseShare(0));
       for (String entry : ENTRIES) {
         deployment.await(entry + " is ready", () -> isReady(deployment, entry));
       }
@@ -71,6 +95,37 @@
     }
   }
 
+  // Guards against a pass that begins with two maps, as an engine's second response to one call is
+  // taken for that to an order, which is carried out later.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void passBeginsWithOneMapWhileEnginesAnswerTwice(long seed) throws Exception {
+    Random random = new Random(seed);
+    try (Deployment deployment =
+        new Deployment(Deployment.Programs.onThisClassPath(NodeMain.class.getName()))) {
+      RankGroup group = start(deployment, seed);
+      relays.forEach(relay -> relay.setSecondResponseShare(SECOND_RESPONSE_SHARE));
+      long start = MonotonicClock.millis();
+      while (group.breaches().isEmpty() && !isPlayed(group, MonotonicClock.millis() - start)) {
+        shiftDemand(random, group);
+        for (int order = 0; order < DELAYED_ORDERS; order++) {
+          deployment.delayOrdersWithoutReply(random.nextInt(GROUP.ranks()), 1);
+          TimeUnit.MILLISECONDS.sleep(DEMAND_MILLIS / 2 / DELAYED_ORDERS);
+        }
+      }
+
+      assertThat(group.breaches()).as("seed %d", seed).isEmpty();
+      assertThat(group.switches()).as("switches of ranks, seed %d", seed).isPositive();
+      assertUndisturbedLogs(seed, deployment);
+    }
+  }
+
+  /** Whether engines have answered twice for long enough, and all ranks have switched meanwhile. */
+  private static boolean isPlayed(RankGroup group, long elapsedMillis) {
+    return elapsedMillis >= MAXIMUM_SECOND_RESPONSES_MILLIS
+        || (elapsedMillis >= SECOND_RESPONSES_MILLIS && group.switches() >= GROUP.ranks());
+  }
+
   /** Shifts the demand until it is worth a new map, and waits until all ranks have one. */
   private static void awaitSwitch(Random random, Deployment deployment, RankGroup group)
       throws InterruptedException {
@@ -87,13 +142,17 @@
         });
   }
 
-  private static RankGroup start(Deployment deployment) throws Exception {
+  private RankGroup start(Deployment deployment, long seed) throws Exception {
     RankGroup group = deployment.startGroup("groups", GROUP);
     deployment.publish(3, "groups", "key-1");
     startEntry(deployment, "entry-1");
     startEntry(deployment, "entry-2");
     for (int rank = 0; rank < GROUP.ranks(); rank++) {
-      deployment.startAgent(agent(rank), deployment.rank(rank));
+      boolean repeatsIds = rank % 2 == 0;
+      EngineRelay relay =
+          EngineRelay.start(deployment.rank(rank).address(), repeatsIds, seed + rank);
+      relays.add(relay);
+      deployment.startAgent(agent(rank), relay.address());
     }
     for (String entry : ENTRIES) {
       deployment.await(entry + " is ready", () -> isReady(deployment, entry));
@@ -121,7 +180,9 @@
             .toArray(double[][]::new));
   }
 
-  private static void disturb(Random random, Deployment deployment) throws Exception {
+  private void disturb(Random random, Deployment deployment) throws Exception {
+    relays.forEach(
+        relay -> relay.setSecondResponseShare(random.nextBoolean() ? SECOND_RESPONSE_SHARE : 0));
     IntStream.range(0, random.nextInt(MAXIMUM_UNANSWERED))
         .forEach(each -> deployment.delayOrdersWithoutReply(random.nextInt(GROUP.ranks()), 1));
     String entry = ENTRIES.get(random.nextInt(ENTRIES.size()));
