Keep a connection out of the pool until all that was read with a response is seen

What callers saw: nothing; SecondResponseTest failed once, in its case of an engine that repeats no ids.

Cause: a connection went back to the pool while the rest of the same read was still being decoded. A call that took it in that moment got the response to the call before, and so did each one after it while calls followed each other closely. It concerns reads of engines without ids and the store's client; an order takes no such connection.

Change: a connection counts as idle as soon as its response is there, so that a further one closes it, and goes back to the pool, with the reply, one turn of the event loop later.

Also: spec/expert-map.pml has the mutation ANY_RESPONSE, an agent that takes the response to another call for that to its order; found.

--- a/gateway/src/main/java/dev/ibishub/gateway/callers/ResponseMemory.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/ResponseMemory.java
@@ -35,13 +35,13 @@
     long heldBytes = OBJECT_BYTES + bytes;
     boolean isLastPart = message instanceof LastHttpContent;
     memory.hold(Kind.RESPONSE, heldBytes);
-    unwritten.onHandedOver(bytes, isLastPart);
+    unwritten.add(bytes, isLastPart);
     context
         .write(message, promise.unvoid())
         .addListener(
-            over -> {
+            ended -> {
               memory.release(Kind.RESPONSE, heldBytes);
-              unwritten.onOver(bytes, isLastPart);
+              unwritten.remove(bytes, isLastPart);
             });
   }
 
--- a/gateway/src/main/java/dev/ibishub/gateway/callers/UnwrittenResponses.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/callers/UnwrittenResponses.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Counts of what was handed to connections and that their sockets have not accepted yet. A response
- * that was handed over whole is lost if its connection is closed before. Thread-safe.
+ * Counts of the parts of responses that were handed to connections and that their sockets have not
+ * accepted yet. A part that is counted is lost if its connection is closed. Thread-safe.
  */
 public final class UnwrittenResponses {
   private final AtomicInteger responses = new AtomicInteger();
@@ -21,14 +21,14 @@
     return bytes.get();
   }
 
-  void onHandedOver(long partBytes, boolean isLastPart) {
+  void add(long partBytes, boolean isLastPart) {
     bytes.addAndGet(partBytes);
     responses.addAndGet(isLastPart ? 1 : 0);
   }
 
-  /** Notes that a part was written, or dropped as its connection has closed. */
-  void onOver(long partBytes, boolean wasLastPart) {
+  /** Removes a part that was written, or dropped as its connection has closed. */
+  void remove(long partBytes, boolean isLastPart) {
     bytes.addAndGet(-partBytes);
-    responses.addAndGet(wasLastPart ? -1 : 0);
+    responses.addAndGet(isLastPart ? -1 : 0);
   }
 }
--- a/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/dev/ibishub/gateway/http/PooledHttpClient.java
@@ -315,14 +315,21 @@
       boolean isIdentified = isIdentified(response);
       boolean isReusable = HttpUtil.isKeepAlive(response) && (isIdentified || !requiresId(call));
       context.channel().attr(REPEATS_IDS).set(isIdentified);
+      context.channel().attr(IS_IDLE).set(true);
       context.pipeline().remove(aggregator);
       context.pipeline().remove(this);
-      if (isReusable) {
-        returnToPool(address, context.channel());
+      HttpReply whole = new HttpReply(response.status().code(), headers, body);
+      // What was read together with the response may be another one, which closes the connection.
+      context.executor().execute(() -> complete(context.channel(), isReusable, whole));
+    }
+
+    private void complete(Channel channel, boolean isReusable, HttpReply whole) {
+      if (isReusable && channel.isActive()) {
+        returnToPool(address, channel);
       } else {
-        context.close();
+        channel.close();
       }
-      reply.complete(new HttpReply(response.status().code(), headers, body));
+      reply.complete(whole);
     }
 
     /** Whether a response is that to the call in flight. */
--- a/spec/expert-map.pml
+++ b/spec/expert-map.pml
@@ -9,7 +9,8 @@
  * step 2, which may be abandoned at any time before the commit is decided; one fault: a rank's
  * agent, its engine, or its whole VM restarts. Each command may be lost, delayed, duplicated and
  * reordered. A connection ends with the agent's process, so a command sent to an agent that ended
- * is never handled by its successor; a leader sends it again on the new connection.
+ * is never handled by its successor; a leader sends it again on the new connection. An engine may
+ * answer a call twice: the agent drops what carries the id of another call, which changes nothing.
  *
  * Safety: the assertion in begin_step. Two checks are not needed for it at these bounds: the check
  * of sequences, which prevents a stall (see GroupSwitchTest), and the check that a commit finds
@@ -20,6 +21,7 @@
  * mutation: NO_EPOCH a rank obeys a leader of an older epoch than the one it promised to obey
  * mutation: NO_INCARNATION a rank that lost its memory obeys commands that rely on it
  * mutation: LATE_HOLD a rank acknowledges a hold for a step that it has begun
+ * mutation: ANY_RESPONSE the agent takes the next response on a connection for that to its order
  * mutation: COMMIT_EARLY the leader commits as soon as one rank holds
  */
 #define RANKS 2
@@ -243,6 +245,12 @@
 end:
   do
   :: begin_step(r)
+#ifdef ANY_RESPONSE
+  :: d_step {
+       sentTo[AT(0, HOLD, r)] == life[r] + 1 && answer[AT(0, HOLD, r)] == NONE ->
+       answer[AT(0, HOLD, r)] = DONE
+     }
+#endif
   /* The ranks are symmetric, so faults at rank 0 suffice. */
   :: d_step { r == 0 && faults > 0 -> faults--; new_life(r) }
   :: d_step { r == 0 && faults > 0 -> faults--; new_engine(r) }
